--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -5,11 +5,12 @@
 use std::io::{BufRead, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
-use lilacfall::Balancer;
-use lilacfall::api::{
+use beaconflow::Balancer;
+use beaconflow::api::{
     Action, Arrival, ClassId, ClientKey, Entry, Event, GroupId, ListKind, Nanos, Note, RequestId, ServerId,
     State, TimerId, ZoneId,
 };
+use beaconflow_settings::{Setup, digest};
 
 use crate::wire::{self, Item, Line};
 
@@ -121,7 +122,9 @@
 
     fn start(&mut self, message: &Line) -> Result<(), String> {
         let name = need(message.balancer_id.as_deref(), "balancer-id")?;
-        let settings = wire::settings(need(message.setup, "setup")?)?;
+        let setup: Setup = serde_json::from_str(need(message.setup, "setup")?.get())
+            .map_err(|error| format!("setup: {error}"))?;
+        let settings = setup.module().map_err(|error| format!("setup: {error}"))?;
         let seed = need(message.nonce64, "nonce64")?;
         let balancer = Balancer::new(settings, seed).map_err(|error| error.to_string())?;
         let instance = Instance { balancer, names: Vec::new(), numbers: BTreeMap::new() };
@@ -134,8 +137,11 @@
         let instance = self.instances.get_mut(name).ok_or_else(|| format!("{name} was never started"))?;
         let Some(event) = read_event(instance, &self.tables, message)? else {
             // Nothing is left to try if standard error is closed.
-            let _ =
-                writeln!(std::io::stderr(), "lilacfall-adapter: line {line}: skipped event {}", message.what);
+            let _ = writeln!(
+                std::io::stderr(),
+                "beaconflow-adapter: line {line}: skipped event {}",
+                message.what
+            );
             return Ok(());
         };
         self.actions.clear();
@@ -202,8 +208,8 @@
         request: RequestId(need(message.req, "req")?),
         give_up_at: need(message.give_up_at_ns, "give-up-at-ns")?,
         class: ClassId(need(message.grade, "grade")?),
-        key: message.resource.as_deref().map(|text| ClientKey(wire::digest(text))),
-        group: message.group.as_deref().map(|text| GroupId(wire::digest(text))),
+        key: message.resource.as_deref().map(|text| ClientKey(digest(text))),
+        group: message.group.as_deref().map(|text| GroupId(digest(text))),
         load: message.expected_ns.map(|span| span as f64 / 1e3),
     })
 }
@@ -232,7 +238,7 @@
         };
         entries.push(Entry {
             server: instance.intern(&item.server),
-            tag: wire::digest(&item.server),
+            tag: digest(&item.server),
             state,
             zone: ZoneId(item.region_part),
             cell: item.block,
--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -1,4 +1,4 @@
-//! Carries lilacfall's decisions over the xenon-52f2 wire, on standard input and output.
+//! Carries beaconflow's decisions over the xenon-52f2 wire, on standard input and output.
 
 #![forbid(unsafe_code)]
 
@@ -17,7 +17,7 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(stop) => {
             // Nothing is left to try if standard error is closed as well.
-            let _ = writeln!(io::stderr(), "lilacfall-adapter: {stop}");
+            let _ = writeln!(io::stderr(), "beaconflow-adapter: {stop}");
             ExitCode::FAILURE
         }
     }
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -1,10 +1,8 @@
-//! The messages of the wire, read with borrowed text, and the settings that come with them.
+//! The messages of the wire, read with borrowed text.
 
 use std::borrow::Cow;
 
-use lilacfall::api::{
-    Action, Class, Discovery, Limits, Nanos, Outcome, Prices, Repeat, Rules, Scope, Settings, ZoneId,
-};
+use beaconflow::api::{Action, Nanos, Outcome};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
@@ -68,10 +66,6 @@
     pub share: f64,
 }
 
-fn one_gateway() -> u32 {
-    1
-}
-
 fn one() -> f64 {
     1.0
 }
@@ -91,157 +85,12 @@
     })
 }
 
-/// A fixed hash of a text (FNV-1a with a final mix), the same in every process.
-pub fn digest(text: &str) -> u64 {
-    let mut hash = 0xcbf2_9ce4_8422_2325_u64;
-    for byte in text.bytes() {
-        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    }
-    hash ^= hash >> 32;
-    hash.wrapping_mul(0x9e37_79b9_7f4a_7c15)
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct Setup {
-    #[serde(default = "one_gateway")]
-    balancers: u32,
-    #[serde(default)]
-    rank: u32,
-    #[serde(default)]
-    zone: u32,
-    lanes: Vec<Lane>,
-    discovery: String,
-    #[serde(default)]
-    family_info: FamilyInfo,
-    policy_limits: PolicyLimits,
-    #[serde(default)]
-    report: Report,
-    rules: SetupRules,
-    #[serde(default)]
-    prices: SetupPrices,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct Lane {
-    on_time_ns: Nanos,
-    hard_limit_ns: Nanos,
-    effect: String,
-    #[serde(default)]
-    dedup_scope: String,
-    #[serde(default)]
-    repeat_window_ns: Nanos,
-    value: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-struct FamilyInfo {
-    message_aim_ns: Vec<Option<Nanos>>,
-}
-
-#[derive(Deserialize, Default)]
-struct Report {
-    #[serde(default)]
-    names: Vec<String>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct PolicyLimits {
-    max_attempts: u32,
-    #[serde(default)]
-    retry_after: bool,
-    #[serde(default)]
-    max_retry_after_ns: Nanos,
-    #[serde(default)]
-    may_probe: bool,
-    #[serde(default)]
-    connect_timeout_ns: Nanos,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct SetupRules {
-    cold_share: f64,
-    cold_ns: Nanos,
-    tip_multiple: f64,
-    fall_ns: Nanos,
-    #[serde(default)]
-    ask_within_ns: Nanos,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-struct SetupPrices {
-    cross_zone: f64,
-}
-
-/// Reads the settings of an instance.
-pub fn settings(raw: &RawValue) -> Result<Settings, String> {
-    let setup: Setup = serde_json::from_str(raw.get()).map_err(|error| format!("setup: {error}"))?;
-    let info = &setup.family_info;
-    let class = |(at, lane): (usize, &Lane)| {
-        Ok(Class {
-            aim: lane.on_time_ns,
-            deadline: lane.hard_limit_ns,
-            repeat: repeat(lane)?,
-            message_aim: info.message_aim_ns.get(at).copied().flatten().unwrap_or(0),
-            worth: lane.value,
-        })
-    };
-    let classes = setup.lanes.iter().enumerate().map(class).collect::<Result<Vec<Class>, String>>()?;
-    let discovery = match setup.discovery.as_str() {
-        "automatic" => Discovery::Pushed,
-        "subscribe" => Discovery::Asked,
-        other => return Err(format!("setup: unknown discovery {other:?}")),
-    };
-    let limits = &setup.policy_limits;
-    Ok(Settings {
-        gateways: setup.balancers,
-        rank: setup.rank,
-        zone: ZoneId(setup.zone),
-        classes,
-        discovery,
-        limits: Limits {
-            max_attempts: limits.max_attempts,
-            retry_after: limits.retry_after,
-            max_retry_after: limits.max_retry_after_ns,
-            may_probe: limits.may_probe && setup.report.names.iter().any(|name| name == "x0"),
-            connect_timeout: limits.connect_timeout_ns,
-        },
-        rules: Rules {
-            cold_share: setup.rules.cold_share,
-            cold_time: setup.rules.cold_ns,
-            tip_multiple: setup.rules.tip_multiple,
-            fall_time: setup.rules.fall_ns,
-            ask_within: setup.rules.ask_within_ns,
-        },
-        prices: Prices { cross_zone: setup.prices.cross_zone },
-    })
-}
-
-fn repeat(lane: &Lane) -> Result<Repeat, String> {
-    let scope = match lane.dedup_scope.as_str() {
-        "zone" => Scope::Zone,
-        "cell" => Scope::Cell,
-        _ => Scope::All,
-    };
-    match lane.effect.as_str() {
-        "retryable" => Ok(Repeat::Safe),
-        "dedup" => Ok(Repeat::Keyed { scope, window: lane.repeat_window_ns }),
-        "fragile" => Ok(Repeat::Unsafe),
-        other => Err(format!("setup: unknown effect {other:?}")),
-    }
-}
-
 /// Writes one action as a line. `server` gives the wire's name of a server.
 pub fn write_action<'n>(
     out: &mut Vec<u8>,
     instance: &str,
     action: &Action,
-    server: impl Fn(lilacfall::api::ServerId) -> &'n str,
+    server: impl Fn(beaconflow::api::ServerId) -> &'n str,
 ) {
     use std::io::Write;
     let done = match action {
--- a/adapter/tests/transcripts.rs
+++ b/adapter/tests/transcripts.rs
@@ -6,7 +6,7 @@
 const SETUP: &str = r#"{"balancers":1,"discovery":"automatic","zone":0,"policy-limits":{"max-attempts":3,"retry-after":true,"max-retry-after-ns":1000000000,"connect-timeout-ns":100000000},"rules":{"cold-share":0.3,"cold-ns":8000000000,"tip-multiple":3.0,"fall-ns":2000000000},"lanes":[{"on-time-ns":300000000,"hard-limit-ns":1800000000,"effect":"retryable","value":1.0,"novel":[1]}],"novel-key":{"a":1}}"#;
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_lilacfall-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_beaconflow-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- /dev/null
+++ b/balancer/src/config.rs
@@ -0,0 +1,68 @@
+//! What the platform tells a balancer at its start (`LB_CONFIG`).
+
+use std::net::SocketAddr;
+
+use beaconflow_settings::Setup;
+use serde::Deserialize;
+
+use crate::farm::List;
+
+/// The platform's configuration file.
+#[derive(Deserialize)]
+pub struct Config {
+    /// This balancer's name, the same after a restart.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery listens.
+    pub discovery: SocketAddr,
+    /// For random numbers, in hex digits; new with each start.
+    pub seed: String,
+    /// What the machine allows.
+    #[serde(default)]
+    pub limits: Limits,
+    /// The farm as this balancer last had it.
+    #[serde(default)]
+    pub known: List,
+    /// The settings of the site.
+    pub settings: Setup,
+}
+
+/// What the machine allows.
+#[derive(Deserialize)]
+pub struct Limits {
+    /// Most file descriptors.
+    #[serde(default = "usual_sockets")]
+    pub sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits { sockets: usual_sockets() }
+    }
+}
+
+fn usual_sockets() -> usize {
+    4096
+}
+
+impl Config {
+    /// Reads the file that `LB_CONFIG` names; the listed variables overrule it.
+    pub fn read() -> Result<Config, String> {
+        let path = std::env::var("LB_CONFIG").map_err(|error| format!("LB_CONFIG: {error}"))?;
+        let text = std::fs::read(&path).map_err(|error| format!("{path}: {error}"))?;
+        let mut config: Config = serde_json::from_slice(&text).map_err(|error| format!("{path}: {error}"))?;
+        for (variable, field) in [("LB_LISTEN", &mut config.listen), ("LB_DISCOVERY", &mut config.discovery)]
+        {
+            if let Ok(text) = std::env::var(variable) {
+                *field = text.parse().map_err(|error| format!("{variable}: {error}"))?;
+            }
+        }
+        Ok(config)
+    }
+
+    /// The seed as a number; a text that is none is hashed.
+    pub fn seed(&self) -> u64 {
+        u64::from_str_radix(&self.seed, 16).unwrap_or_else(|_| beaconflow_settings::digest(&self.seed))
+    }
+}
--- /dev/null
+++ b/balancer/src/core/ledger.rs
@@ -0,0 +1,200 @@
+//! The books: each open transaction with its orders' channel, and what has been counted.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use beaconflow::api::{Arrival, ClassId, ClientKey, GroupId, Nanos, Outcome, RequestId, ServerId};
+use crossbeam_channel::Sender;
+
+use super::{Opening, Order};
+use crate::clock::nanos;
+
+/// Where a transaction is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Place {
+    /// No pass is out.
+    Waiting,
+    /// A pass is out.
+    Out(ServerId),
+    /// The same, to the application server that held the connection before the start.
+    Held(ServerId),
+    /// The connection stands.
+    Standing(ServerId),
+}
+
+pub(super) struct Transaction {
+    pub(super) opening: Opening,
+    pub(super) give_up_at: Nanos,
+    orders: Sender<Order>,
+    place: Place,
+    /// Passes so far, as the module counts them.
+    passes: u32,
+}
+
+/// What ended.
+pub(super) struct Ended {
+    pub(super) attempt: u32,
+    pub(super) stood: bool,
+    pub(super) held: bool,
+}
+
+/// What has been counted since the start.
+#[derive(Clone, Debug, Default)]
+pub struct Counts {
+    /// Transactions opened.
+    pub opened: u64,
+    /// Connections that came to stand.
+    pub served: u64,
+    /// Unavailable answers given.
+    pub unavailable: u64,
+    /// Transactions failed.
+    pub failed: u64,
+    /// Clients that left before an answer.
+    pub left: u64,
+    /// Clients ordered to move.
+    pub moved: u64,
+    /// Proxy passes made.
+    pub passes: u64,
+    /// How proxy passes and connections ended, in the order of [`Outcome`].
+    pub ends: [u64; 8],
+}
+
+const END_NAMES: [&str; 8] =
+    ["ok", "error", "full", "timed-out", "connect-failed", "reset", "cancelled", "not-sent"];
+
+impl Counts {
+    /// The ends of passes and connections, by name.
+    pub fn ends(&self) -> impl Iterator<Item = (&'static str, u64)> {
+        END_NAMES.into_iter().zip(self.ends)
+    }
+}
+
+impl fmt::Display for Counts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "opened={} served={} unavailable={}", self.opened, self.served, self.unavailable)?;
+        write!(f, " failed={} left={} moved={}", self.failed, self.left, self.moved)?;
+        write!(f, " passes={}", self.passes)?;
+        self.ends().filter(|(_, count)| *count > 0).try_for_each(|(name, count)| write!(f, " {name}={count}"))
+    }
+}
+
+/// All open transactions.
+#[derive(Default)]
+pub(super) struct Ledger {
+    open: BTreeMap<u64, Transaction>,
+    pub(super) counts: Counts,
+}
+
+impl Ledger {
+    /// Books a transaction; gives what the module is told of it.
+    pub(super) fn open(&mut self, id: u64, opening: Opening, orders: Sender<Order>) -> Arrival {
+        self.counts.opened += 1;
+        let give_up_at = opening.taken_at.saturating_add(nanos(opening.patience));
+        let transaction = Transaction { opening, give_up_at, orders, place: Place::Waiting, passes: 0 };
+        let arrival = transaction.arrival(id);
+        self.open.insert(id, transaction);
+        arrival
+    }
+
+    pub(super) fn get(&self, id: u64) -> Option<&Transaction> {
+        self.open.get(&id)
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Sends an order. A transaction whose thread is gone has told of its end or is about to.
+    pub(super) fn order(&mut self, id: u64, order: Order) {
+        if let Some(transaction) = self.open.get(&id) {
+            self.counts.moved += u64::from(matches!(order, Order::Move));
+            let _ = transaction.orders.send(order);
+        }
+    }
+
+    pub(super) fn pass(&mut self, id: u64, server: ServerId, order: Order) {
+        if let Some(transaction) = self.open.get_mut(&id) {
+            let held = transaction.opening.held_by.is_some();
+            transaction.place = if held { Place::Held(server) } else { Place::Out(server) };
+            transaction.passes += 1;
+            self.counts.passes += 1;
+            self.order(id, order);
+        }
+    }
+
+    /// The pass stands: its number, its application server, and whether that held it before the start.
+    pub(super) fn stands(&mut self, id: u64) -> Option<(u32, ServerId, bool)> {
+        let transaction = self.open.get_mut(&id)?;
+        let (server, held) = match transaction.place {
+            Place::Out(server) => (server, false),
+            Place::Held(server) => (server, true),
+            Place::Waiting | Place::Standing(_) => return None,
+        };
+        transaction.place = Place::Standing(server);
+        self.counts.served += 1;
+        Some((transaction.passes - 1, server, held))
+    }
+
+    /// Numbers the standing connection as the module does that takes it over.
+    pub(super) fn restart(&mut self, id: u64) -> Option<Arrival> {
+        let transaction = self.open.get_mut(&id)?;
+        transaction.passes = 1;
+        Some(transaction.arrival(id))
+    }
+
+    pub(super) fn standing(&self, id: u64) -> Option<(u32, ServerId)> {
+        match self.open.get(&id)? {
+            Transaction { place: Place::Standing(server), passes, .. } => Some((passes - 1, *server)),
+            _ => None,
+        }
+    }
+
+    pub(super) fn ended(&mut self, id: u64, outcome: Outcome) -> Option<Ended> {
+        let transaction = self.open.get_mut(&id)?;
+        let (stood, held) = match transaction.place {
+            Place::Waiting => return None,
+            Place::Out(_) => (false, false),
+            Place::Held(_) => (false, true),
+            Place::Standing(_) => (true, false),
+        };
+        transaction.place = Place::Waiting;
+        self.counts.ends[outcome as usize] += 1;
+        Some(Ended { attempt: transaction.passes - 1, stood, held })
+    }
+
+    pub(super) fn close(&mut self, id: u64) -> Option<Transaction> {
+        self.open.remove(&id)
+    }
+
+    pub(super) fn places(&self) -> Vec<(u64, Place)> {
+        self.open.iter().map(|(id, transaction)| (*id, transaction.place)).collect()
+    }
+
+    pub(super) fn standing_ids(&self) -> Vec<u64> {
+        let stands = |place: &Place| matches!(place, Place::Standing(_));
+        self.places().into_iter().filter(|(_, place)| stands(place)).map(|(id, _)| id).collect()
+    }
+
+    pub(super) fn standing_at(&self) -> BTreeMap<ServerId, usize> {
+        let mut counts = BTreeMap::new();
+        for transaction in self.open.values() {
+            if let Place::Standing(server) = transaction.place {
+                *counts.entry(server).or_insert(0) += 1;
+            }
+        }
+        counts
+    }
+}
+
+impl Transaction {
+    fn arrival(&self, id: u64) -> Arrival {
+        Arrival {
+            request: RequestId(id),
+            give_up_at: self.give_up_at,
+            class: ClassId(self.opening.class),
+            key: self.opening.key.map(ClientKey),
+            group: self.opening.group.map(GroupId),
+            load: self.opening.load,
+        }
+    }
+}
--- /dev/null
+++ b/balancer/src/core/mod.rs
@@ -0,0 +1,584 @@
+//! The core of the balancer: one thread that owns the decision module, the clock, the timers and the books.
+//!
+//! It knows no wire and touches no socket. Events come in over one channel; orders go out over the channel of
+//! the transaction that they concern.
+
+mod farm;
+mod ledger;
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::io;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use beaconflow::Balancer;
+use beaconflow::api::{self, Action, Nanos, Note, Outcome, RequestId, Settings, SettingsError, TimerId};
+use beaconflow_settings::Setup;
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
+
+pub use farm::ApplicationServer;
+use farm::Farm;
+pub use ledger::Counts;
+use ledger::{Ledger, Place};
+
+use crate::clock::{Clock, nanos};
+use crate::farm::{List, News};
+use crate::log::{self, Level};
+
+/// The moves of a planned restart are spread over this. Guards against a herd of clients that all come again at
+/// once and overrun the application servers' set-ups.
+const LEAVE_MOVES: Duration = Duration::from_millis(1_800);
+/// New connections still come for so long after the word to leave.
+const LEAVE_LEAST: Duration = Duration::from_millis(700);
+/// Transactions still open after this get their final answer.
+const LEAVE_ANSWERS: Duration = Duration::from_millis(2_700);
+/// The program is gone by then; it may be killed 3.7 s after the word.
+const LEAVE_MOST: Duration = Duration::from_millis(3_300);
+/// Period of the core's own look at what it leaves behind, and of its log line.
+const LEAVE_TICK: Duration = Duration::from_millis(20);
+const COUNTS_PERIOD: Duration = Duration::from_secs(5);
+/// A connection that stood before this balancer's start is tried again after this long.
+const HELD_RETRY: Duration = Duration::from_millis(300);
+/// Slow messages at one application server are told to the module this often.
+const DELAY_PERIOD: Nanos = 1_000_000_000;
+
+/// What a client asks for, in the words of no wire.
+#[derive(Clone, Debug)]
+pub struct Opening {
+    /// Place of the class in the settings.
+    pub class: usize,
+    /// A hash of what it concerns.
+    pub key: Option<u64>,
+    /// A hash of the group it shares work with.
+    pub group: Option<u64>,
+    /// Expected load, in microseconds of work a second.
+    pub load: Option<f64>,
+    /// When it came.
+    pub taken_at: Nanos,
+    /// How long its client waits.
+    pub patience: Duration,
+    /// The application server that holds the connection already, by name.
+    pub held_by: Option<String>,
+}
+
+/// What happens to a transaction.
+#[derive(Debug)]
+pub enum Event {
+    /// A client asks for a connection; its transaction takes the orders.
+    Opened(u64, Opening, Sender<Order>),
+    /// The proxy pass stands.
+    Established(u64),
+    /// The proxy pass, or the connection that it became, has ended.
+    Ended(u64, Outcome, Duration),
+    /// News of a standing connection.
+    Noted(u64, Note),
+    /// The client left before its final answer.
+    Left(u64),
+    /// The connection's thread panicked; the client has been answered.
+    Lost(u64),
+    /// News of the farm.
+    Farm(News),
+    /// The program is to leave.
+    Terminate,
+    /// Somebody wants to see the counts and the farm.
+    Look(Sender<Look>),
+}
+
+/// What a transaction is to do.
+#[derive(Debug)]
+pub enum Order {
+    /// Make a proxy pass.
+    Pass {
+        /// Where to.
+        to: Arc<ApplicationServer>,
+        /// How long it may take in all.
+        within: Duration,
+    },
+    /// Final answer: unavailable; a new try does no harm, after the span if one is given.
+    Unavailable(Option<Duration>),
+    /// Final answer: failed.
+    Failed,
+    /// Move the client.
+    Move,
+}
+
+/// A look at the core, for people.
+#[derive(Clone, Debug)]
+pub struct Look {
+    /// What has been counted.
+    pub counts: Counts,
+    /// Open transactions.
+    pub open: usize,
+    /// Standing connections among them.
+    pub standing: usize,
+    /// Each application server: name, address, whether it is leaving, standing connections.
+    pub farm: Vec<(String, String, bool, usize)>,
+}
+
+/// The way to the core.
+#[derive(Clone)]
+pub struct Handle {
+    events: Sender<Event>,
+    next: Arc<AtomicU64>,
+    /// Open connections, also those that have had their answer and linger.
+    connections: Arc<AtomicUsize>,
+    clock: Clock,
+    connect_timeout: Duration,
+    slow: Duration,
+}
+
+/// Counts one connection for as long as it lives.
+pub struct Counted(Arc<AtomicUsize>);
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Handle {
+    /// Opens a transaction.
+    pub fn open(&self, opening: Opening, orders: Sender<Order>) -> u64 {
+        let id = self.next.fetch_add(1, Ordering::Relaxed);
+        self.tell(Event::Opened(id, opening, orders));
+        id
+    }
+
+    /// Tells the core. Once the core is gone, nothing is left to be told.
+    pub fn tell(&self, event: Event) {
+        let _ = self.events.send(event);
+    }
+
+    /// The clock of the program.
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    /// A connection not up by then has failed.
+    pub fn connect_timeout(&self) -> Duration {
+        self.connect_timeout
+    }
+
+    /// A message that takes this long is news.
+    pub fn slow(&self) -> Duration {
+        self.slow
+    }
+
+    /// Counts a connection in, if there are not too many.
+    pub fn count_in(&self, most: usize) -> Option<Counted> {
+        let before = self.connections.fetch_add(1, Ordering::Relaxed);
+        let counted = Counted(Arc::clone(&self.connections));
+        (before < most).then_some(counted)
+    }
+
+    /// How many connections are open.
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+
+    /// A look at the core; nothing if it does not answer.
+    pub fn look(&self) -> Option<Look> {
+        let (ask, answer) = crossbeam_channel::bounded(1);
+        self.tell(Event::Look(ask));
+        answer.recv_timeout(Duration::from_secs(1)).ok()
+    }
+}
+
+/// What a core is started with.
+pub struct Start {
+    /// The name under which it logs.
+    pub name: &'static str,
+    /// The settings of the site.
+    pub setup: Setup,
+    /// For the module's random numbers.
+    pub seed: u64,
+    /// The clock of the program.
+    pub clock: Clock,
+    /// The farm as it was last known.
+    pub known: List,
+    /// Asks for the farm; [`Event::Farm`] follows.
+    pub watch: Sender<()>,
+}
+
+/// Why a core does not start.
+#[derive(Debug)]
+pub enum StartError {
+    /// A word of the settings has no meaning.
+    Word(beaconflow_settings::UnknownWord),
+    /// A setting is out of its range.
+    Range(SettingsError),
+    /// There is no thread to be had.
+    Thread(io::Error),
+}
+
+impl std::fmt::Display for StartError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            StartError::Word(error) => error.fmt(f),
+            StartError::Range(error) => error.fmt(f),
+            StartError::Thread(error) => error.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
+
+/// Starts a core on a thread of its own, which ends once it has been told to leave and has left.
+pub fn start(start: Start) -> Result<(Handle, JoinHandle<()>), StartError> {
+    let settings = start.setup.module().map_err(StartError::Word)?;
+    let (events, inbox) = unbounded();
+    let aims = settings.classes.iter().map(|class| class.message_aim).filter(|aim| *aim > 0);
+    let slow = aims.min().map_or(Nanos::MAX, |aim| aim / 3);
+    let handle = Handle {
+        events,
+        next: Arc::default(),
+        connections: Arc::default(),
+        clock: start.clock,
+        connect_timeout: Duration::from_nanos(settings.limits.connect_timeout),
+        slow: Duration::from_nanos(slow),
+    };
+    let balancer = Balancer::new(settings.clone(), start.seed).map_err(StartError::Range)?;
+    let mut core = Core {
+        name: start.name,
+        zones: start.setup,
+        settings,
+        seed: start.seed,
+        clock: start.clock,
+        balancer,
+        farm: Farm::default(),
+        ledger: Ledger::default(),
+        timers: BinaryHeap::new(),
+        set: 0,
+        watch: start.watch,
+        slow,
+        leaving_since: None,
+        actions: Vec::new(),
+    };
+    core.take_list(start.known, true);
+    let run = move || core.run(&inbox);
+    let thread = std::thread::Builder::new()
+        .name(format!("core-{}", start.name))
+        .spawn(run)
+        .map_err(StartError::Thread)?;
+    Ok((handle, thread))
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Module(TimerId),
+    /// A connection that stood before the start is to be opened again.
+    Held(u64),
+    /// The client is moved as the program leaves.
+    Move(u64),
+    Leaving,
+    Counts,
+}
+
+struct Core {
+    name: &'static str,
+    zones: Setup,
+    settings: Settings,
+    seed: u64,
+    clock: Clock,
+    balancer: Balancer,
+    farm: Farm,
+    ledger: Ledger,
+    /// What is due when; the middle number keeps the order in which equal moments were set.
+    timers: BinaryHeap<Reverse<(Nanos, u64, Due)>>,
+    set: u64,
+    watch: Sender<()>,
+    /// A message that takes this long is slow.
+    slow: Nanos,
+    leaving_since: Option<Nanos>,
+    actions: Vec<Action>,
+}
+
+impl Core {
+    fn run(&mut self, inbox: &Receiver<Event>) {
+        self.wake(COUNTS_PERIOD, Due::Counts);
+        loop {
+            let due = self.timers.peek().map(|Reverse((at, ..))| self.clock.instant(*at));
+            let event = match due {
+                Some(due) if due <= Instant::now() => Err(RecvTimeoutError::Timeout),
+                Some(due) => inbox.recv_deadline(due),
+                None => inbox.recv().map_err(|_| RecvTimeoutError::Disconnected),
+            };
+            match event {
+                Ok(event) => self.take(event),
+                Err(RecvTimeoutError::Timeout) => self.fire(),
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            // Guards against timers that wait behind a long queue of events: those due come first.
+            while self.timers.peek().is_some_and(|Reverse((at, ..))| *at <= self.clock.now()) {
+                self.fire();
+            }
+            if self.has_left() {
+                return;
+            }
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Opened(id, opening, orders) => self.admit(id, opening, orders),
+            Event::Established(id) => self.established(id),
+            Event::Ended(id, outcome, took) => self.ended(id, outcome, took),
+            Event::Noted(id, note) => self.noted(id, note),
+            Event::Left(id) | Event::Lost(id) => {
+                if self.ledger.close(id).is_some() {
+                    self.ledger.counts.left += 1;
+                    self.decide(api::Event::ClientLeft(RequestId(id)));
+                }
+            }
+            Event::Farm(News::List(list)) => self.take_list(list, false),
+            Event::Farm(News::Failed) => {
+                let failed = api::Event::List { kind: api::ListKind::Failed, entries: Vec::new() };
+                self.decide(failed);
+            }
+            Event::Terminate => self.leave(),
+            Event::Look(answer) => {
+                // Nobody waits any more if this fails.
+                let _ = answer.try_send(self.look());
+            }
+        }
+    }
+
+    fn take_list(&mut self, list: List, known: bool) {
+        let (count, reset, generation) = (list.instances.len(), list.reset, list.generation);
+        let entries = self.farm.learn(list, |zone| self.zones.zone(zone));
+        let kind = match (known, reset) {
+            (true, _) => api::ListKind::Cached,
+            (false, true) => api::ListKind::Full,
+            (false, false) => api::ListKind::Changes,
+        };
+        log::line(
+            Level::Info,
+            self.name,
+            format_args!("farm generation={generation} kind={kind:?} entries={count}"),
+        );
+        self.decide(api::Event::List { kind, entries });
+    }
+
+    // ---- admit ----
+
+    /// Takes a transaction in. One that stood before the start goes to its application server without a
+    /// decision; every other one is the module's.
+    fn admit(&mut self, id: u64, opening: Opening, orders: Sender<Order>) {
+        let held = opening.held_by.is_some();
+        let arrival = self.ledger.open(id, opening, orders);
+        if self.leaving_since.is_some() {
+            // Guards against newcomers placed through a program that is about to move them again.
+            self.answer(id, Order::Unavailable(None));
+        } else if held {
+            self.reopen(id);
+        } else {
+            self.decide(api::Event::Arrived(arrival));
+        }
+    }
+
+    /// Sends a connection that stood before the start to its application server.
+    fn reopen(&mut self, id: u64) {
+        let Some(transaction) = self.ledger.get(id) else { return };
+        let now = self.clock.now();
+        if now >= transaction.give_up_at {
+            return self.answer(id, Order::Failed);
+        }
+        let within = Duration::from_nanos(transaction.give_up_at - now);
+        let name = transaction.opening.held_by.as_deref().unwrap_or_default();
+        match self.farm.by_name(name) {
+            Some((server, to)) => self.ledger.pass(id, server, Order::Pass { to, within }),
+            None => self.wake(HELD_RETRY, Due::Held(id)),
+        }
+    }
+
+    // ---- route ----
+
+    /// Hands an event to the module and carries out what it decides.
+    fn decide(&mut self, event: api::Event) {
+        let now = self.clock.now();
+        let mut actions = std::mem::take(&mut self.actions);
+        let (balancer, out) = (&mut self.balancer, &mut actions);
+        let handled = catch_unwind(AssertUnwindSafe(|| balancer.handle(now, event, out)));
+        if handled.is_err() {
+            actions.clear();
+            self.start_anew();
+        }
+        for action in actions.drain(..) {
+            self.carry_out(action);
+        }
+        self.actions = actions;
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Attempt { request, server, timeout } => match self.farm.get(server) {
+                Some(to) => {
+                    let order = Order::Pass { to, within: Duration::from_nanos(timeout) };
+                    self.ledger.pass(request.0, server, order);
+                }
+                None => self.answer(request.0, Order::Failed),
+            },
+            Action::Refuse { request, retry_after } => {
+                self.answer(request.0, Order::Unavailable(retry_after.map(Duration::from_nanos)));
+            }
+            Action::Fail(request) => self.answer(request.0, Order::Failed),
+            Action::Move(request) => self.ledger.order(request.0, Order::Move),
+            Action::Wake { after, timer } => self.wake(Duration::from_nanos(after), Due::Module(timer)),
+            // A real farm has no probes: the settings that allow them are the simulator's.
+            Action::Probe(_) => {}
+            // The watcher lives as long as the program.
+            Action::Watch => drop(self.watch.send(())),
+            Action::Log(text) => log::line(Level::Info, self.name, format_args!("module {text}")),
+        }
+    }
+
+    fn answer(&mut self, id: u64, order: Order) {
+        match order {
+            Order::Unavailable(_) => self.ledger.counts.unavailable += 1,
+            _ => self.ledger.counts.failed += 1,
+        }
+        self.ledger.order(id, order);
+        self.ledger.close(id);
+    }
+
+    /// Guards against a module that panicked and left its books half written: a new one takes over what stands,
+    /// and what was on its way gets its final answer.
+    fn start_anew(&mut self) {
+        log::line(Level::Error, self.name, format_args!("module panicked; a new one takes over"));
+        self.seed = self.seed.wrapping_add(1);
+        let Ok(balancer) = Balancer::new(self.settings.clone(), self.seed) else { return };
+        self.balancer = balancer;
+        self.timers.retain(|Reverse((_, _, due))| !matches!(due, Due::Module(_)));
+        self.decide(api::Event::List { kind: api::ListKind::Full, entries: self.farm.entries() });
+        for (id, place) in self.ledger.places() {
+            match place {
+                Place::Standing(server) => {
+                    let Some(arrival) = self.ledger.restart(id) else { continue };
+                    self.decide(api::Event::Standing { arrival, server });
+                }
+                Place::Held(_) => {}
+                Place::Waiting | Place::Out(_) => self.answer(id, Order::Failed),
+            }
+        }
+    }
+
+    // ---- book ----
+
+    fn established(&mut self, id: u64) {
+        let Some((attempt, server, held)) = self.ledger.stands(id) else { return };
+        if held {
+            let Some(arrival) = self.ledger.restart(id) else { return };
+            self.decide(api::Event::Standing { arrival, server });
+        } else {
+            self.decide(api::Event::Established { request: RequestId(id), attempt });
+        }
+        if self.leaving_since.is_some() {
+            self.ledger.order(id, Order::Move);
+        }
+    }
+
+    fn ended(&mut self, id: u64, outcome: Outcome, took: Duration) {
+        let Some(ended) = self.ledger.ended(id, outcome) else { return };
+        if ended.held {
+            // Guards against a start at which the application server is not reached at the first try.
+            return self.wake(HELD_RETRY, Due::Held(id));
+        }
+        if ended.stood {
+            self.ledger.close(id);
+        }
+        self.decide(api::Event::Ended {
+            request: RequestId(id),
+            attempt: ended.attempt,
+            outcome,
+            took: nanos(took),
+            closed: ended.stood,
+        });
+    }
+
+    fn noted(&mut self, id: u64, note: Note) {
+        let Some((attempt, server)) = self.ledger.standing(id) else { return };
+        if let Note::Delay(delay) = note {
+            let slow = delay >= self.slow;
+            if !self.farm.delay_is_news(server, self.clock.now(), slow, DELAY_PERIOD) {
+                return;
+            }
+        }
+        self.decide(api::Event::Noted { request: RequestId(id), attempt, note });
+    }
+
+    fn look(&self) -> Look {
+        let standing = self.ledger.standing_at();
+        Look {
+            counts: self.ledger.counts.clone(),
+            open: self.ledger.len(),
+            standing: standing.values().sum(),
+            farm: self.farm.look(&standing),
+        }
+    }
+
+    // ---- timers ----
+
+    fn wake(&mut self, after: Duration, due: Due) {
+        self.set += 1;
+        self.timers.push(Reverse((self.clock.now().saturating_add(nanos(after)), self.set, due)));
+    }
+
+    fn fire(&mut self) {
+        let Some(Reverse((_, _, due))) = self.timers.pop() else { return };
+        match due {
+            Due::Module(timer) => self.decide(api::Event::Timer(timer)),
+            Due::Held(id) => self.reopen(id),
+            Due::Move(id) => self.ledger.order(id, Order::Move),
+            Due::Leaving => self.go_on_leaving(),
+            Due::Counts => {
+                let look = self.look();
+                let line = format_args!("open={} standing={} {}", look.open, look.standing, look.counts);
+                log::line(Level::Info, self.name, line);
+                self.wake(COUNTS_PERIOD, Due::Counts);
+            }
+        }
+    }
+
+    // ---- leaving ----
+
+    /// Moves all clients, spread over a while; newcomers are answered as they come.
+    fn leave(&mut self) {
+        if self.leaving_since.is_some() {
+            return;
+        }
+        self.leaving_since = Some(self.clock.now());
+        let standing = self.ledger.standing_ids();
+        log::line(Level::Info, self.name, format_args!("leaving: {} clients to move", standing.len()));
+        let count = u32::try_from(standing.len().max(1)).unwrap_or(u32::MAX);
+        for (at, id) in (0..).zip(standing) {
+            self.wake(LEAVE_MOVES * at / count, Due::Move(id));
+        }
+        self.wake(LEAVE_TICK, Due::Leaving);
+    }
+
+    fn go_on_leaving(&mut self) {
+        self.wake(LEAVE_TICK, Due::Leaving);
+        if self.left_for() < LEAVE_ANSWERS {
+            return;
+        }
+        for (id, place) in self.ledger.places() {
+            if !matches!(place, Place::Standing(_)) {
+                self.answer(id, Order::Failed);
+            }
+        }
+    }
+
+    fn left_for(&self) -> Duration {
+        let since = self.leaving_since.unwrap_or(Nanos::MAX);
+        Duration::from_nanos(self.clock.now().saturating_sub(since))
+    }
+
+    fn has_left(&self) -> bool {
+        self.leaving_since.is_some()
+            && (self.left_for() >= LEAVE_MOST || self.left_for() >= LEAVE_LEAST && self.ledger.len() == 0)
+    }
+}
--- /dev/null
+++ b/balancer/src/farm.rs
@@ -0,0 +1,251 @@
+//! The farm: discovery's list of application servers, and the watch on its changes.
+
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use crossbeam_channel::{Receiver, Sender, unbounded};
+use serde::Deserialize;
+
+use crate::log::{self, Level};
+
+/// A connection to discovery that is not up by then counts as failed.
+const CONNECT_PATIENCE: Duration = Duration::from_secs(1);
+/// Discovery sends an empty line every 2 s; without one for so long the watch is dead. Guards against a watch
+/// that is cut off in silence: what it would have told counts as told after 6 s.
+const SILENCE: Duration = Duration::from_millis(3_500);
+/// Longest line of a list, so that a peer gone wrong costs no more memory than this.
+const LONGEST_LINE: u64 = 4 << 20;
+/// Longest head of an answer.
+const LONGEST_HEAD: u64 = 8 << 10;
+
+/// A list in discovery's form: the whole one, or the entries that changed.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct List {
+    /// Its version.
+    #[serde(default)]
+    pub generation: u64,
+    /// Whether it is the whole list.
+    #[serde(default)]
+    pub reset: bool,
+    /// The entries.
+    #[serde(default)]
+    pub instances: Vec<Listed>,
+}
+
+/// One application server of a list.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Listed {
+    /// The same at all balancers.
+    pub instance_id: String,
+    /// Where this balancer reaches it. One that is gone may have none.
+    #[serde(default)]
+    pub host_port: Option<SocketAddr>,
+    /// Its zone, by name.
+    #[serde(default)]
+    pub zone: String,
+    /// Its cell.
+    #[serde(default)]
+    pub cell: u32,
+    /// Whether it takes new work.
+    pub lifecycle: Lifecycle,
+    /// Its listed weight.
+    #[serde(default = "usual_weight")]
+    pub weight: f64,
+    /// Unix time of its last start, in milliseconds; 0 for long ago.
+    #[serde(default)]
+    pub started_at_ms: u64,
+}
+
+fn usual_weight() -> f64 {
+    1.0
+}
+
+/// Whether an application server takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum Lifecycle {
+    /// It does.
+    Serving,
+    /// It finishes what it has.
+    Draining,
+    /// It is gone.
+    Deleted,
+}
+
+/// What the farm tells the core.
+#[derive(Debug)]
+pub enum News {
+    /// A list, whole or of changes.
+    List(List),
+    /// The watch could not be had, or it ended; the old list holds.
+    Failed,
+}
+
+/// Asks discovery for the list and its changes whenever the core says so.
+pub struct Watcher {
+    asks: Receiver<()>,
+    discovery: SocketAddr,
+    /// The version that the next watch goes on from.
+    generation: AtomicU64,
+}
+
+impl Watcher {
+    /// A watcher that goes on from the known version, and the end that asks it.
+    pub fn new(discovery: SocketAddr, known: u64) -> (Watcher, Sender<()>) {
+        let (ask, asks) = unbounded();
+        (Watcher { asks, discovery, generation: AtomicU64::new(known) }, ask)
+    }
+
+    /// Serves asks until the core is gone. Each ask is a watch that lasts until it ends or falls silent.
+    pub fn run(&self, tell: impl Fn(News)) {
+        while self.asks.recv().is_ok() {
+            // Asks that came while a watch stood are answered by its end.
+            while self.asks.try_recv().is_ok() {}
+            if let Err(error) = self.watch(&tell) {
+                log::line(Level::Warn, "farm", format_args!("watch ended: {error}"));
+            }
+            tell(News::Failed);
+        }
+    }
+
+    fn watch(&self, tell: &impl Fn(News)) -> io::Result<()> {
+        let mut stream = TcpStream::connect_timeout(&self.discovery, CONNECT_PATIENCE)?;
+        stream.set_read_timeout(Some(SILENCE))?;
+        stream.set_write_timeout(Some(CONNECT_PATIENCE))?;
+        let from = self.generation.load(Ordering::Relaxed);
+        let head = format!(
+            "GET /api/targets?watch=1&from={from} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n",
+            self.discovery
+        );
+        stream.write_all(head.as_bytes())?;
+        let mut body = Chunked::open(BufReader::new(&stream))?;
+        log::line(Level::Info, "farm", format_args!("watch stands from generation {from}"));
+        let mut line = Vec::new();
+        loop {
+            line.clear();
+            if (&mut body).take(LONGEST_LINE).read_until(b'\n', &mut line)? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            if !line.ends_with(b"\n") {
+                return Err(io::Error::other("a line of the list is cut off or too long"));
+            }
+            if line.iter().all(u8::is_ascii_whitespace) {
+                continue;
+            }
+            let list: List = serde_json::from_slice(&line)?;
+            self.generation.store(list.generation, Ordering::Relaxed);
+            tell(News::List(list));
+        }
+    }
+}
+
+/// The chunked body of an answer.
+struct Chunked<R> {
+    from: R,
+    /// What is left of the present chunk.
+    left: u64,
+    begun: bool,
+    ended: bool,
+}
+
+impl<R: BufRead> Chunked<R> {
+    /// Reads the head of the answer; anything but a chunked 200 is an error.
+    fn open(mut from: R) -> io::Result<Chunked<R>> {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            let most = LONGEST_HEAD.saturating_sub(head.len() as u64);
+            if (&mut from).take(most).read_until(b'\n', &mut head)? == 0 {
+                return Err(io::Error::other("the answer's head is cut off or too long"));
+            }
+        }
+        let mut headers = [httparse::EMPTY_HEADER; 32];
+        let mut answer = httparse::Response::new(&mut headers);
+        answer.parse(&head).map_err(io::Error::other)?;
+        if answer.code != Some(200) {
+            return Err(io::Error::other(format!("discovery answered {}", answer.code.unwrap_or(0))));
+        }
+        let chunked = |header: &&mut httparse::Header<'_>| {
+            header.name.eq_ignore_ascii_case("transfer-encoding")
+                && header.value.eq_ignore_ascii_case(b"chunked")
+        };
+        if answer.headers.iter_mut().find(chunked).is_none() {
+            return Err(io::Error::other("a watch that is not chunked"));
+        }
+        Ok(Chunked { from, left: 0, begun: false, ended: false })
+    }
+
+    /// Goes to the next chunk if the present one is used up. The last one has no bytes.
+    fn advance(&mut self) -> io::Result<()> {
+        let mut line = Vec::new();
+        if self.begun {
+            (&mut self.from).take(2).read_until(b'\n', &mut line)?;
+            line.clear();
+        }
+        self.begun = true;
+        (&mut self.from).take(256).read_until(b'\n', &mut line)?;
+        match httparse::parse_chunk_size(&line) {
+            Ok(httparse::Status::Complete((_, size))) => self.left = size,
+            _ => return Err(io::Error::other("a chunk without a size")),
+        }
+        Ok(())
+    }
+}
+
+impl<R: BufRead> Read for Chunked<R> {
+    fn read(&mut self, into: &mut [u8]) -> io::Result<usize> {
+        let count = self.fill_buf()?.len().min(into.len());
+        into[..count].copy_from_slice(&self.fill_buf()?[..count]);
+        self.consume(count);
+        Ok(count)
+    }
+}
+
+impl<R: BufRead> BufRead for Chunked<R> {
+    fn fill_buf(&mut self) -> io::Result<&[u8]> {
+        if self.left == 0 && !self.ended {
+            self.advance()?;
+            self.ended = self.left == 0;
+        }
+        if self.ended {
+            return Ok(&[]);
+        }
+        let bytes = self.from.fill_buf()?;
+        if bytes.is_empty() {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        let most = usize::try_from(self.left).unwrap_or(usize::MAX).min(bytes.len());
+        Ok(&bytes[..most])
+    }
+
+    fn consume(&mut self, count: usize) {
+        self.from.consume(count);
+        self.left -= count as u64;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_chunked_body_is_put_together_across_chunks_and_ends() {
+        let answer = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nab\n\r\n1\r\n\n\r\n4\r\ncde\n\r\n0\r\n\r\n";
+        let mut text = String::new();
+        Chunked::open(&answer[..]).expect("a chunked 200").read_to_string(&mut text).expect("whole");
+        assert_eq!(text, "ab\n\ncde\n");
+    }
+
+    #[test]
+    fn an_answer_that_is_no_watch_is_an_error() {
+        for answer in [
+            &b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"[..],
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+            b"HTTP/1.1 200 OK\r\n",
+        ] {
+            assert!(Chunked::open(answer).is_err());
+        }
+    }
+}
--- /dev/null
+++ b/balancer/src/front/mod.rs
@@ -0,0 +1,117 @@
+//! Fronts: the wires that clients and application servers speak. A front frames and words; it decides nothing.
+
+pub mod platform;
+
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use crate::core::Opening;
+use crate::net::{Intake, ReadError};
+use crate::stages::send::PassError;
+
+/// A wire.
+pub trait Front: Send + Sync + 'static {
+    /// What is kept of a client's opening, to speak for it to application servers.
+    type Greeting: Send + Sync;
+
+    /// The name under which its log lines stand.
+    fn name(&self) -> &'static str;
+
+    /// Most bytes that are kept of what a client sends before its connection stands.
+    fn most_early(&self) -> usize;
+
+    /// Reads a client's opening, answering what comes before it.
+    fn take_in(
+        &self,
+        client: &TcpStream,
+        intake: &mut Intake,
+        now: u64,
+    ) -> Result<(Opening, Self::Greeting), OpeningError>;
+
+    /// Speaks for a client to an application server until its connection stands. `recheck` is asked just before
+    /// the first byte. Gives the bytes for the client that go before what the server sends from now on, and
+    /// leaves in `intake` what was read ahead.
+    fn pass(
+        &self,
+        server: &TcpStream,
+        greeting: &Self::Greeting,
+        until: Instant,
+        recheck: &dyn Fn() -> bool,
+        intake: &mut Intake,
+    ) -> Result<Vec<u8>, PassError>;
+
+    /// The words of a final answer, or of a move.
+    fn say(&self, word: Word) -> Vec<u8>;
+
+    /// Follows what clients send on a standing connection.
+    fn client_framer(&self) -> Box<dyn Framer>;
+
+    /// Follows what application servers send on a standing connection.
+    fn server_framer(&self) -> Box<dyn Framer>;
+
+    /// A client's message unanswered for so long means a silent application server.
+    fn silence(&self) -> Duration;
+}
+
+/// What a client is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// Unavailable, and when to come back if that is told.
+    Unavailable(Option<Duration>),
+    /// Failed.
+    Failed,
+    /// Come again: the connection ends in order.
+    Move,
+}
+
+/// Why there is no opening.
+#[derive(Debug)]
+pub enum OpeningError {
+    /// The peer ended, broke off or fell silent before it asked for anything.
+    Gone(ReadError),
+    /// It spoke, and is given this answer.
+    Refused {
+        /// What is written to it.
+        answer: Vec<u8>,
+        /// For the log.
+        why: String,
+    },
+}
+
+impl From<ReadError> for OpeningError {
+    fn from(error: ReadError) -> OpeningError {
+        OpeningError::Gone(error)
+    }
+}
+
+/// What a framer sees go by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Seen {
+    /// A message that a sound server answers at once.
+    Asked,
+    /// Such an answer.
+    Answered,
+    /// The connection's load, in microseconds of work a second.
+    Load(f64),
+    /// The server has served the connection to its end.
+    Goodbye,
+    /// The server sends its client away.
+    SentAway,
+}
+
+/// Follows one direction of a standing connection without holding anything back.
+pub trait Framer: Send {
+    /// Follows bytes and reports what is seen in them. Gives how many of them lie before the last boundary
+    /// between messages, if there is one among them.
+    fn follow(&mut self, bytes: &[u8], seen: &mut dyn FnMut(Seen)) -> Result<Option<usize>, FrameFault>;
+
+    /// Whether the bytes so far end between two messages.
+    fn is_between(&self) -> bool;
+}
+
+/// Bytes that break the wire's rules.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FrameFault {
+    /// What the peer that sent them is told, if it is told anything.
+    pub answer: &'static str,
+}
--- /dev/null
+++ b/balancer/src/lib.rs
@@ -0,0 +1,15 @@
+//! The balancer on real sockets, built round beaconflow's decisions.
+//!
+//! [`core`] owns the decision module and knows no wire. A [`front`] frames a wire and decides nothing. Between
+//! them a transaction passes the [`stages`]: take in, admit, route, send, relay, book.
+
+#![forbid(unsafe_code)]
+
+pub mod clock;
+pub mod config;
+pub mod core;
+pub mod farm;
+pub mod front;
+pub mod log;
+pub mod net;
+pub mod stages;
--- /dev/null
+++ b/balancer/src/stages/send.rs
@@ -0,0 +1,162 @@
+//! Send: one proxy pass to one application server.
+
+use std::fmt;
+use std::io;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use beaconflow::api::Outcome;
+
+use crate::core::ApplicationServer;
+use crate::front::Front;
+use crate::net::{self, Intake, ReadError};
+use crate::stages::relay::Link;
+
+/// Most bytes read ahead from a server that is being asked.
+const MOST_AHEAD: usize = 8 * 1024;
+
+/// How far a proxy pass had come when it ended. What became of its transaction follows from this alone.
+#[derive(Debug)]
+pub enum PassError {
+    /// Nothing was sent: the application server is leaving, or the client has left.
+    Withheld,
+    /// The connection did not come up.
+    NotConnected(io::Error),
+    /// It broke before the head's last byte was written.
+    HeadPartlyWritten(usize, io::Error),
+    /// The head was written, and no answer came.
+    Written(ReadError),
+    /// The application server answered, but not by serving.
+    Answered(Answer),
+    /// The connection stood.
+    Standing(End),
+}
+
+/// An application server's answer to a pass that does not stand.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// Turned away unseen.
+    Unavailable,
+    /// A draining server sends the client away.
+    SentAway,
+    /// Anything else.
+    Error,
+}
+
+/// How a standing connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Its server said goodbye and ended it.
+    Served,
+    /// Its server sent the client away and ended it.
+    SentAway,
+    /// Its server ended it without a word.
+    ServerEnded,
+    /// Its server's side broke.
+    ServerBroke,
+    /// Its server is silent; the client was told to move.
+    ServerSilent,
+    /// Its server broke the wire's rules.
+    ServerFault,
+    /// The client ended it.
+    ClientEnded,
+    /// The client's side broke.
+    ClientBroke,
+    /// The client broke the wire's rules.
+    ClientFault(&'static str),
+    /// The client was told to move.
+    Moved,
+    /// It was to be moved, but a message that had begun never ended.
+    Cut,
+}
+
+impl PassError {
+    /// A failed write of a head, by the number of bytes written.
+    pub fn unwritten((written, error): (usize, io::Error)) -> PassError {
+        PassError::HeadPartlyWritten(written, error)
+    }
+
+    /// What the decision module is told.
+    pub fn outcome(&self) -> Outcome {
+        match self {
+            PassError::Withheld => Outcome::NotSent,
+            PassError::NotConnected(_) | PassError::HeadPartlyWritten(..) => Outcome::ConnectFailed,
+            PassError::Written(ReadError::TimedOut) => Outcome::TimedOut,
+            PassError::Written(ReadError::TooLong) | PassError::Answered(Answer::Error) => Outcome::Error,
+            PassError::Written(ReadError::Ended | ReadError::Broken(_)) => Outcome::Reset,
+            PassError::Answered(Answer::Unavailable) => Outcome::Full,
+            PassError::Answered(Answer::SentAway) => Outcome::Cancelled,
+            PassError::Standing(end) => end.outcome(),
+        }
+    }
+}
+
+impl End {
+    fn outcome(self) -> Outcome {
+        match self {
+            End::Served => Outcome::Served,
+            End::ServerEnded | End::ServerBroke | End::ServerSilent | End::ServerFault => Outcome::Reset,
+            End::SentAway
+            | End::ClientEnded
+            | End::ClientBroke
+            | End::ClientFault(_)
+            | End::Moved
+            | End::Cut => Outcome::Cancelled,
+        }
+    }
+}
+
+impl fmt::Display for PassError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            PassError::Withheld => write!(f, "withheld"),
+            PassError::NotConnected(error) => write!(f, "not connected: {error}"),
+            PassError::HeadPartlyWritten(bytes, error) => {
+                write!(f, "head broken after {bytes} bytes: {error}")
+            }
+            PassError::Written(error) => write!(f, "written, then {error:?}"),
+            PassError::Answered(answer) => write!(f, "answered: {answer:?}"),
+            PassError::Standing(end) => write!(f, "stood, then {end:?}"),
+        }
+    }
+}
+
+/// A pass that stands.
+pub struct Passed {
+    /// The application server's connection.
+    pub server: Arc<TcpStream>,
+    /// What the client is told.
+    pub answer: Vec<u8>,
+    /// What the server has sent beyond that.
+    pub ahead: Vec<u8>,
+}
+
+/// Makes a pass.
+pub fn pass<F: Front>(
+    front: &F,
+    link: &Link,
+    greeting: &F::Greeting,
+    to: &ApplicationServer,
+    within: Duration,
+    connect_timeout: Duration,
+) -> Result<Passed, PassError> {
+    let until = Instant::now() + within;
+    // A wait of nothing is no wait to the system, but an error.
+    let patience = connect_timeout.min(within).max(Duration::from_millis(1));
+    let server = TcpStream::connect_timeout(&to.address, patience).map_err(PassError::NotConnected)?;
+    net::prepare(&server).map_err(PassError::NotConnected)?;
+    let server = Arc::new(server);
+    let mut intake = Intake::new(MOST_AHEAD);
+    let recheck = || !to.is_leaving() && !link.is_over();
+    // While the link knows the connection, a client that leaves ends it and so this wait.
+    let said = link.asking(&server, || front.pass(&server, greeting, until, &recheck, &mut intake));
+    match said {
+        Ok(answer) => Ok(Passed { server, answer, ahead: intake.into_rest() }),
+        Err(error) => {
+            // Guards against an attempt that still counts as out while the next one is made.
+            net::end(&server);
+            Err(error)
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,8 +5,8 @@
 //! retry-after is paced by a capped exponential delay with full jitter.
 //!
 //! ```
-//! use lilacfall::Balancer;
-//! use lilacfall::api::*;
+//! use beaconflow::Balancer;
+//! use beaconflow::api::*;
 //!
 //! let settings = Settings {
 //!     gateways: 4,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,4 +1,4 @@
-//! Every decision of lilacfall, and nothing else. The interface (settings, events, actions) is `api.rs`.
+//! Every decision of beaconflow, and nothing else. The interface (settings, events, actions) is `api.rs`.
 //!
 //! The ordinary path: a new connection goes to the next server in a smooth weighted rotation; a placement
 //! that failed waits a capped exponential delay with full jitter and takes the next server in turn.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,8 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses its part")]
 
-use lilacfall::Balancer;
-use lilacfall::api::*;
+use beaconflow::Balancer;
+use beaconflow::api::*;
 
 pub const MS: Nanos = 1_000_000;
 pub const SECOND: Nanos = 1_000_000_000;
--- a/tests/invariants.rs
+++ b/tests/invariants.rs
@@ -4,9 +4,9 @@
 
 use std::collections::BTreeMap;
 
+use beaconflow::Balancer;
+use beaconflow::api::*;
 use common::*;
-use lilacfall::Balancer;
-use lilacfall::api::*;
 use proptest::prelude::*;
 
 /// What the test knows of a request, told from actions alone.
--- a/tests/repeats.rs
+++ b/tests/repeats.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
+use beaconflow::api::*;
 use common::*;
-use lilacfall::api::*;
 
 #[test]
 fn a_set_up_that_never_ran_waits_and_takes_another_server() {
--- a/tests/robustness.rs
+++ b/tests/robustness.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
+use beaconflow::api::*;
 use common::*;
-use lilacfall::api::*;
 
 #[test]
 fn log_lines_come_in_trouble_alone_and_at_a_bounded_rate() {
--- a/tests/rotation.rs
+++ b/tests/rotation.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
+use beaconflow::api::*;
 use common::*;
-use lilacfall::api::*;
 
 /// A sign of strain, and one late enough to move connections, by the aim of 120 ms.
 const SLOW: Note = Note::Delay(80 * MS);
@@ -300,7 +300,7 @@
 #[test]
 fn gateways_begin_their_turns_at_different_servers() {
     let first_turn = |seed| {
-        let mut balancer = lilacfall::Balancer::new(settings(), seed).expect("the settings are in range");
+        let mut balancer = beaconflow::Balancer::new(settings(), seed).expect("the settings are in range");
         let mut actions = Vec::new();
         let entries = (0..20).map(entry).collect();
         balancer.handle(SECOND, Event::List { kind: ListKind::Full, entries }, &mut actions);
