--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -119,6 +119,13 @@
         self.tell(Event::Established { request: RequestId(request), attempt })
     }
 
+    /// A request whose first attempt stands at once; gives where it went.
+    pub fn stand(&mut self, arrival: Arrival) -> Vec<ServerId> {
+        let actions = self.tell(Event::Arrived(arrival));
+        self.settle(&actions);
+        attempts(&actions)
+    }
+
     /// News of a connection that took one attempt.
     pub fn note(&mut self, request: u64, note: Note) -> Vec<Action> {
         self.tell(Event::Noted { request: RequestId(request), attempt: 0, note })
--- a/tests/rotation.rs
+++ b/tests/rotation.rs
@@ -46,14 +46,12 @@
     for seed in 0..2 {
         let mut gateway = Gateway::with_servers(settings(), 6);
         for other in 0..30 * (seed + 1) {
-            gateway.arrive(1000 + other, SAFE);
+            gateway.stand(arrival(1000 + other, SAFE, SECOND));
         }
-        let placed: Vec<ServerId> =
-            (0..2).flat_map(|id| attempts(&gateway.tell(Event::Arrived(grouped(id, 77))))).collect();
+        let placed: Vec<ServerId> = (0..2).flat_map(|id| gateway.stand(grouped(id, 77))).collect();
         assert_eq!(placed[0], placed[1]);
         places.push(placed[0]);
-        let many: Vec<ServerId> =
-            (10..40).flat_map(|id| attempts(&gateway.tell(Event::Arrived(grouped(id, 77))))).collect();
+        let many: Vec<ServerId> = (10..40).flat_map(|id| gateway.stand(grouped(id, 77))).collect();
         assert!(share_of(&many, placed[0].0) < 1.0, "a crowded server is passed over");
     }
     assert_eq!(places[0], places[1]);
@@ -318,7 +316,7 @@
             let mut gateway = Gateway::with_servers(Settings { gateways: 8, rank, ..settings() }, 40);
             for id in 0..20 {
                 let group = if id < others { 7 << 40 } else { id };
-                gateway.tell(Event::Arrived(grouped(id, group)));
+                gateway.stand(grouped(id, group));
                 if id < others {
                     gateway.close(id, 0, Outcome::Reset);
                     gateway.tell(Event::Standing { arrival: grouped(100 + id, group), server: ServerId(99) });
