Add the NATS front with tenants and administration, stories of the platform's front, drain moves

Module: nothing moved clients off a server that drains or is gone (rules.rs had no use of a draining state but for new sends); empty_leaving() now does, half at a time. Stories start the program against scripted peers: refusals at once, resets, held connections, silent servers, drains, a dead watch, SIGTERM with half a line relayed.

--- a/balancer/src/front/mod.rs
+++ b/balancer/src/front/mod.rs
@@ -1,8 +1,10 @@
 //! Fronts: the wires that clients and application servers speak. A front frames and words; it decides nothing.
 
+pub mod nats;
 pub mod platform;
 
 use std::net::TcpStream;
+use std::ops::Range;
 use std::time::{Duration, Instant};
 
 use crate::core::Opening;
@@ -49,6 +51,11 @@
     /// Follows what application servers send on a standing connection.
     fn server_framer(&self) -> Box<dyn Framer>;
 
+    /// The balancer's own question to a standing server, if the wire has one.
+    fn probe(&self) -> Option<Probe> {
+        None
+    }
+
     /// A client's message unanswered for so long means a silent application server.
     fn silence(&self) -> Duration;
 }
@@ -89,26 +96,52 @@
 pub enum Seen {
     /// A message that a sound server answers at once.
     Asked,
-    /// Such an answer.
+    /// Such an answer; all that was asked before it is answered.
     Answered,
+    /// Such an answer to the oldest question alone.
+    AnsweredOldest,
     /// The connection's load, in microseconds of work a second.
     Load(f64),
     /// The server has served the connection to its end.
     Goodbye,
     /// The server sends its client away.
     SentAway,
+    /// The server says that it is about to leave.
+    Leaving,
+    /// News that is the server's and the balancer's alone.
+    Private,
+}
+
+/// How far a framer followed some bytes.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Followed {
+    /// Bytes that may go on; the rest begins a message whose meaning shows only when it is whole, and is to be
+    /// handed over again with what comes next.
+    pub consumed: usize,
+    /// Where the last boundary between messages lies, if one lies in them.
+    pub boundary: Option<usize>,
+    /// Whole messages among them that do not go on.
+    pub dropped: Vec<Range<usize>>,
 }
 
-/// Follows one direction of a standing connection without holding anything back.
+/// Follows one direction of a standing connection.
 pub trait Framer: Send {
-    /// Follows bytes and reports what is seen in them. Gives how many of them lie before the last boundary
-    /// between messages, if there is one among them.
-    fn follow(&mut self, bytes: &[u8], seen: &mut dyn FnMut(Seen)) -> Result<Option<usize>, FrameFault>;
+    /// Follows bytes and asks of each message seen whether it goes on.
+    fn follow(&mut self, bytes: &[u8], seen: &mut dyn FnMut(Seen) -> bool) -> Result<Followed, FrameFault>;
 
     /// Whether the bytes so far end between two messages.
     fn is_between(&self) -> bool;
 }
 
+/// A question of the balancer's own to a server, where a wire has one.
+#[derive(Clone, Copy, Debug)]
+pub struct Probe {
+    /// What is written, between two messages.
+    pub words: &'static [u8],
+    /// It is asked when nothing has been asked for so long.
+    pub after: Duration,
+}
+
 /// Bytes that break the wire's rules.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FrameFault {
--- a/balancer/src/front/platform.rs
+++ b/balancer/src/front/platform.rs
@@ -6,7 +6,7 @@
 
 use beaconflow_settings::{Setup, digest};
 
-use super::{FrameFault, Framer, Front, OpeningError, Seen, Word};
+use super::{Followed, FrameFault, Framer, Front, OpeningError, Seen, Word};
 use crate::core::Opening;
 use crate::net::{Intake, ReadError, trimmed, write_gathered};
 use crate::stages::send::{Answer, PassError};
@@ -187,8 +187,8 @@
 }
 
 impl Framer for Lines {
-    fn follow(&mut self, bytes: &[u8], seen: &mut dyn FnMut(Seen)) -> Result<Option<usize>, FrameFault> {
-        let mut last = None;
+    fn follow(&mut self, bytes: &[u8], seen: &mut dyn FnMut(Seen) -> bool) -> Result<Followed, FrameFault> {
+        let mut followed = Followed { consumed: bytes.len(), ..Followed::default() };
         let mut rest = bytes;
         while !rest.is_empty() {
             let end = rest.iter().position(|byte| *byte == b'\n').map(|at| at + 1);
@@ -201,13 +201,14 @@
             let room = HEAD.saturating_sub(self.head.len()).min(piece.len());
             self.head.extend_from_slice(&piece[..room]);
             if end.is_some() {
+                // Every line goes on, whatever it means.
                 seen(self.meaning(trimmed(&self.head)));
                 self.head.clear();
                 self.length = 0;
-                last = Some(bytes.len() - rest.len());
+                followed.boundary = Some(bytes.len() - rest.len());
             }
         }
-        Ok(last)
+        Ok(followed)
     }
 
     fn is_between(&self) -> bool {
@@ -223,7 +224,13 @@
     fn lines_in_pieces_keep_their_meaning_and_their_boundaries() {
         let mut lines = Lines::default();
         let mut all = Vec::new();
-        let mut follow = |bytes: &[u8]| lines.follow(bytes, &mut |seen| all.push(seen)).expect("short lines");
+        let mut follow = |bytes: &[u8]| {
+            let mut seen = |seen| {
+                all.push(seen);
+                true
+            };
+            lines.follow(bytes, &mut seen).expect("short lines").boundary
+        };
         assert_eq!(follow(b"LOAD 12"), None);
         assert_eq!(follow(b".5\r\nBY"), Some(4));
         assert_eq!(follow(b"E\r\nok\r"), Some(3));
@@ -235,7 +242,7 @@
     #[test]
     fn a_line_over_four_kib_is_a_fault() {
         let mut lines = Lines::default();
-        assert!(lines.follow(&[b'x'; 4096], &mut |_| {}).is_ok());
-        assert!(lines.follow(b"x", &mut |_| {}).is_err());
+        assert!(lines.follow(&[b'x'; 4096], &mut |_| true).is_ok());
+        assert!(lines.follow(b"x", &mut |_| true).is_err());
     }
 }
--- a/balancer/src/main.rs
+++ b/balancer/src/main.rs
@@ -2,11 +2,14 @@
 
 #![forbid(unsafe_code)]
 
+use std::net::SocketAddr;
+use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::thread::{Builder, JoinHandle};
 use std::time::{Duration, Instant};
 
+use beaconflow_settings::Setup;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
@@ -14,6 +17,11 @@
 use beaconflow_balancer::config::Config;
 use beaconflow_balancer::core::{self, Event, Handle, Start};
 use beaconflow_balancer::farm::Watcher;
+use beaconflow_balancer::front::Front;
+use beaconflow_balancer::front::nats::Nats;
+use beaconflow_balancer::front::nats::admin::Admin;
+use beaconflow_balancer::front::nats::operator::{FarmSource, Operator};
+use beaconflow_balancer::front::nats::tenants::Tenants;
 use beaconflow_balancer::front::platform::Platform;
 use beaconflow_balancer::log::{self, Level};
 use beaconflow_balancer::net;
@@ -32,46 +40,107 @@
     }
 }
 
+/// A front that serves: the way to its core, and the thread to wait for.
+struct Serving {
+    core: Handle,
+    thread: JoinHandle<()>,
+}
+
 fn serve() -> Result<(), String> {
     let clock = Clock::start();
-    let config = Config::read()?;
     let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|error| format!("signals: {error}"))?;
-    let (handle, core) = start_platform(config, clock)?;
-    let told = handle.clone();
+    let mut serving = Vec::new();
+    let operator = operator_file()?;
+    // The platform starts a balancer without a word; an operator's file may stand alone.
+    if operator.is_none() || std::env::var_os("LB_CONFIG").is_some() {
+        serving.push(start_platform(Config::read()?, clock)?);
+    }
+    if let Some(operator) = operator {
+        serving.push(start_nats(operator, clock)?);
+    }
+    let told: Vec<Handle> = serving.iter().map(|front| front.core.clone()).collect();
     spawn("signals", move || {
         if signals.forever().next().is_some() {
-            told.tell(Event::Terminate);
+            told.iter().for_each(|core| core.tell(Event::Terminate));
         }
     })?;
-    core.join().map_err(|_| "the core panicked".to_owned())?;
-    let until = Instant::now() + LAST_WORDS;
-    while handle.connections() > 0 && Instant::now() < until {
-        std::thread::sleep(Duration::from_millis(5));
+    for Serving { core, thread } in serving {
+        thread.join().map_err(|_| "the core panicked".to_owned())?;
+        let until = Instant::now() + LAST_WORDS;
+        while core.connections() > 0 && Instant::now() < until {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        log::line(Level::Info, "main", format_args!("left with {} connections open", core.connections()));
     }
-    log::line(Level::Info, "main", format_args!("left with {} connections open", handle.connections()));
     Ok(())
 }
 
-fn start_platform(config: Config, clock: Clock) -> Result<(Handle, JoinHandle<()>), String> {
-    let listener =
-        net::listen(config.listen).map_err(|error| format!("listen on {}: {error}", config.listen))?;
+/// The operator's file that the command line names, if it names one.
+fn operator_file() -> Result<Option<Operator>, String> {
+    let mut words = std::env::args_os().skip(1);
+    match (words.next(), words.next(), words.next()) {
+        (None, ..) => Ok(None),
+        (Some(flag), Some(path), None) if flag == "--operator" => Operator::read(Path::new(&path)).map(Some),
+        _ => Err("usage: beaconflow-balancer [--operator FILE]".to_owned()),
+    }
+}
+
+fn start_platform(config: Config, clock: Clock) -> Result<Serving, String> {
     let (watcher, watch) = Watcher::new(config.discovery, config.known.generation);
     let seed = config.seed();
     let setup = config.settings;
     let front = Arc::new(Platform::new(Arc::new(setup.clone())));
     let start = Start { name: "core", setup, seed, clock, known: config.known, watch };
-    let (handle, core) = core::start(start).map_err(|error| format!("settings: {error}"))?;
-    let told = handle.clone();
-    spawn("farm", move || watcher.run(|news| told.tell(Event::Farm(news))))?;
-    let most = stages::take_in::connections_in(config.limits.sockets);
-    log::line(
-        Level::Info,
-        "main",
-        format_args!("{} serves on {}, at most {most} connections", config.name, config.listen),
-    );
-    let taken = handle.clone();
-    spawn("take-in", move || stages::take_in::listen(&front, &listener, &taken, most))?;
-    Ok((handle, core))
+    let serving = start_core(start, Some(watcher))?;
+    start_front(front, config.listen, config.limits.sockets, &serving)?;
+    log::line(Level::Info, "main", format_args!("{} serves on {}", config.name, config.listen));
+    Ok(serving)
+}
+
+fn start_nats(operator: Operator, clock: Clock) -> Result<Serving, String> {
+    let setup = Arc::new(operator.settings);
+    let tenants =
+        Arc::new(Tenants::new(&operator.store.url, Duration::from_millis(operator.store.fresh_ms))?);
+    let known = operator.farm.list();
+    let (watcher, watch) = match operator.farm {
+        FarmSource::Discovery(address) => {
+            let (watcher, watch) = Watcher::new(address, 0);
+            (Some(watcher), watch)
+        }
+        FarmSource::Servers(_) => (None, crossbeam_channel::unbounded().0),
+    };
+    let seed = clock.now();
+    let start = Start { name: "nats-core", setup: Setup::clone(&setup), seed, clock, known, watch };
+    let serving = start_core(start, watcher)?;
+    let admin_on = operator.admin.listen;
+    let admin_listener = net::listen(admin_on).map_err(|error| format!("listen on {admin_on}: {error}"))?;
+    let core = serving.core.clone();
+    let admin = Arc::new(Admin::new(Arc::clone(&tenants), Arc::clone(&setup), core, &operator.admin.token));
+    spawn("admin", move || admin.listen(&admin_listener))?;
+    let front = Arc::new(Nats::new(operator.name, setup, tenants, operator.wire));
+    start_front(front, operator.listen, operator.sockets, &serving)?;
+    log::line(Level::Info, "main", format_args!("nats on {}, admin on {admin_on}", operator.listen));
+    Ok(serving)
+}
+
+fn start_core(start: Start, watcher: Option<Watcher>) -> Result<Serving, String> {
+    let (core, thread) = core::start(start).map_err(|error| format!("settings: {error}"))?;
+    if let Some(watcher) = watcher {
+        let told = core.clone();
+        spawn("farm", move || watcher.run(|news| told.tell(Event::Farm(news))))?;
+    }
+    Ok(Serving { core, thread })
+}
+
+fn start_front<F: Front>(
+    front: Arc<F>,
+    on: SocketAddr,
+    sockets: usize,
+    serving: &Serving,
+) -> Result<(), String> {
+    let listener = net::listen(on).map_err(|error| format!("listen on {on}: {error}"))?;
+    let (core, most) = (serving.core.clone(), stages::take_in::connections_in(sockets));
+    spawn("take-in", move || stages::take_in::listen(&front, &listener, &core, most))
 }
 
 fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> Result<(), String> {
--- a/balancer/src/net.rs
+++ b/balancer/src/net.rs
@@ -61,6 +61,11 @@
         Intake { bytes: Vec::new(), most }
     }
 
+    /// Keeps `most` bytes, of which some have been read.
+    pub fn holding(bytes: Vec<u8>, most: usize) -> Intake {
+        Intake { bytes, most }
+    }
+
     /// What has been read and not taken.
     pub fn bytes(&self) -> &[u8] {
         &self.bytes
@@ -146,6 +151,15 @@
     let _ = stream.shutdown(Shutdown::Write);
 }
 
+/// Reads a peer that has had its last word until it ends, for a bounded time. Guards against a reset, which the
+/// system makes of a close with bytes unread, and which would overtake that word.
+pub fn drain(mut stream: &TcpStream, patience: Duration) {
+    let until = Instant::now() + patience;
+    let mut chunk = [0; 512];
+    let _ = stream.set_read_timeout(Some(patience));
+    while Instant::now() < until && matches!(stream.read(&mut chunk), Ok(1..)) {}
+}
+
 /// Ends a connection in both directions; a thread that reads from it wakes.
 pub fn end(stream: &TcpStream) {
     let _ = stream.shutdown(Shutdown::Both);
--- a/balancer/src/stages/relay.rs
+++ b/balancer/src/stages/relay.rs
@@ -4,6 +4,7 @@
 //! the application server; the transaction's own thread waits for orders and for either pump's end. Sockets are
 //! read and written through shared references, so that a connection costs two descriptors.
 
+use std::collections::VecDeque;
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -15,7 +16,7 @@
 
 use crate::clock::nanos;
 use crate::core::{Event, Handle, Order};
-use crate::front::{FrameFault, Framer, Front, Seen, Word};
+use crate::front::{Followed, FrameFault, Framer, Front, Probe, Seen, Word};
 use crate::net;
 use crate::stages::send::{End, Passed};
 
@@ -25,6 +26,8 @@
 const MOVE_PATIENCE: Duration = Duration::from_millis(900);
 /// Bytes relayed at a time.
 const CHUNK: usize = 4096;
+/// Questions of one connection that may be unanswered at once; a client that asks more is at fault.
+const MOST_ASKED: usize = 1024;
 
 /// A panic in another thread of the connection ends that connection in any case; what it held is still sound.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -45,12 +48,15 @@
 struct Up {
     flow: Flow,
     framer: Box<dyn Framer>,
-    early: Vec<u8>,
+    /// What is kept: all that came early, then the beginning of a message that is not whole.
+    kept: Vec<u8>,
 }
 
 /// The server's side: whoever holds it may write to the client.
 struct Down {
     framer: Box<dyn Framer>,
+    /// The beginning of a message that is not whole.
+    kept: Vec<u8>,
     /// A move waits for the end of a message.
     moving: bool,
     /// Nothing more goes to the client.
@@ -66,8 +72,15 @@
     down: Mutex<Down>,
     over: AtomicBool,
     most_early: usize,
-    /// When the oldest unanswered message of the client went by.
-    asked: Mutex<Option<Instant>>,
+    /// The unanswered questions to the server, the oldest first.
+    asked: Mutex<VecDeque<Asked>>,
+    probe: Option<Probe>,
+}
+
+struct Asked {
+    at: Instant,
+    /// Whether the balancer asked, and not the client.
+    own: bool,
 }
 
 /// What a pump tells the transaction at its end.
@@ -81,15 +94,17 @@
 impl Link {
     /// A link for a client that has sent its opening, and `early` beyond it.
     pub fn new<F: Front>(front: &F, client: TcpStream, early: Vec<u8>) -> Link {
-        let up = Up { flow: Flow::Opening(None), framer: front.client_framer(), early };
-        let down = Down { framer: front.server_framer(), moving: false, over: false, last: None };
+        let up = Up { flow: Flow::Opening(None), framer: front.client_framer(), kept: early };
+        let framer = front.server_framer();
+        let down = Down { framer, kept: Vec::new(), moving: false, over: false, last: None };
         Link {
             client,
             up: Mutex::new(up),
             down: Mutex::new(down),
             over: AtomicBool::new(false),
             most_early: front.most_early(),
-            asked: Mutex::new(None),
+            asked: Mutex::default(),
+            probe: front.probe(),
         }
     }
 
@@ -133,18 +148,17 @@
 
     /// The client's pump: runs from the opening to the client's end.
     pub fn pump_client(&self, core: &Handle, id: u64, ends: &Sender<PumpEnd>) {
-        let _ = self.client.set_read_timeout(None);
+        let _ = self.client.set_read_timeout(self.probe.map(|probe| probe.after));
         let mut chunk = [0; CHUNK];
         let end = loop {
-            match (&self.client).read(&mut chunk) {
+            let went = match (&self.client).read(&mut chunk) {
                 Ok(0) => break End::ClientEnded,
-                Ok(count) => {
-                    if let Err(end) = self.forward(&chunk[..count]) {
-                        break end;
-                    }
-                }
-                Err(error) if net::is_wait(&error) => {}
+                Ok(count) => self.forward(&chunk[..count]),
+                Err(error) if net::is_wait(&error) => Ok(()),
                 Err(_) => break End::ClientBroke,
+            };
+            if let Err(end) = went.and_then(|()| self.ask()) {
+                break end;
             }
         };
         let opening = matches!(lock(&self.up).flow, Flow::Opening(_));
@@ -157,34 +171,61 @@
     }
 
     fn forward(&self, bytes: &[u8]) -> Result<(), End> {
-        let server = {
+        let (server, onward) = {
             let mut up = lock(&self.up);
             match &up.flow {
                 Flow::Over => return Ok(()),
                 Flow::Opening(_) => {
-                    if up.early.len() + bytes.len() > self.most_early {
+                    if up.kept.len() + bytes.len() > self.most_early {
                         return Err(End::ClientFault(""));
                     }
-                    up.early.extend_from_slice(bytes);
+                    up.kept.extend_from_slice(bytes);
                     return Ok(());
                 }
                 Flow::Standing(server) => {
                     let server = Arc::clone(server);
-                    self.follow_client(&mut up, bytes)?;
-                    server
+                    up.kept.extend_from_slice(bytes);
+                    (server, self.follow_client(&mut up)?)
                 }
             }
         };
-        (&*server).write_all(bytes).map_err(|_| End::ServerBroke)
+        (&*server).write_all(&onward).map_err(|_| End::ServerBroke)
     }
 
-    fn follow_client(&self, up: &mut Up, bytes: &[u8]) -> Result<(), End> {
-        let mut asked = false;
-        let followed = up.framer.follow(bytes, &mut |seen| asked |= seen == Seen::Asked);
-        if asked {
-            lock(&self.asked).get_or_insert_with(Instant::now);
+    /// Gives what may go on to the server, and keeps the rest.
+    fn follow_client(&self, up: &mut Up) -> Result<Vec<u8>, End> {
+        let mut questions = 0;
+        let followed = up.framer.follow(&up.kept, &mut |seen| {
+            questions += usize::from(seen == Seen::Asked);
+            true
+        });
+        let Followed { consumed, .. } = followed.map_err(|FrameFault { answer }| End::ClientFault(answer))?;
+        let mut asked = lock(&self.asked);
+        if asked.len() + questions > MOST_ASKED {
+            return Err(End::ClientFault(""));
+        }
+        asked.extend((0..questions).map(|_| Asked { at: Instant::now(), own: false }));
+        let rest = up.kept.split_off(consumed);
+        Ok(std::mem::replace(&mut up.kept, rest))
+    }
+
+    /// Asks the server the balancer's own question, if the wire has one and nothing was asked for a while. Only
+    /// the client's pump writes to the server, so that the question comes between two messages. Guards against a
+    /// silent server whose client asks nothing itself.
+    fn ask(&self) -> Result<(), End> {
+        let Some(probe) = self.probe else { return Ok(()) };
+        let up = lock(&self.up);
+        let Flow::Standing(server) = &up.flow else { return Ok(()) };
+        let server = Arc::clone(server);
+        {
+            let mut asked = lock(&self.asked);
+            if !asked.is_empty() || !up.framer.is_between() {
+                return Ok(());
+            }
+            asked.push_back(Asked { at: Instant::now(), own: true });
         }
-        followed.map(|_| ()).map_err(|FrameFault { answer }| End::ClientFault(answer))
+        drop(up);
+        (&*server).write_all(probe.words).map_err(|_| End::ServerBroke)
     }
 
     /// Joins the client to its server: what it sent early goes first. Nothing is joined if it has left.
@@ -193,35 +234,40 @@
         if !matches!(up.flow, Flow::Opening(_)) {
             return Err(End::ClientEnded);
         }
-        let early = std::mem::take(&mut up.early);
-        self.follow_client(&mut up, &early)?;
-        (&**server).write_all(&early).map_err(|_| End::ServerBroke)?;
+        let onward = self.follow_client(&mut up)?;
+        (&**server).write_all(&onward).map_err(|_| End::ServerBroke)?;
         up.flow = Flow::Standing(Arc::clone(server));
         Ok(())
     }
 
-    /// Relays what the server sent. A line goes on as it came, whole or not; a move that waits goes out at the
-    /// first boundary. True once the client has been told to move.
-    fn backward(&self, bytes: &[u8], words: &[u8], seen: &mut dyn FnMut(Seen)) -> Result<bool, End> {
+    /// Relays what the server sent, as far as it may go on. A move that waits goes out at the first boundary.
+    /// True once the client has been told to move.
+    fn backward(&self, bytes: &[u8], words: &[u8], seen: &mut dyn FnMut(Seen) -> bool) -> Result<bool, End> {
         let mut down = lock(&self.down);
         if down.over {
             return Ok(false);
         }
-        let mut last = down.last;
-        let followed = down.framer.follow(bytes, &mut |what| {
-            last = Some(what);
-            seen(what);
+        let down = &mut *down;
+        down.kept.extend_from_slice(bytes);
+        let followed = down.framer.follow(&down.kept, &mut |what| {
+            down.last = Some(what);
+            seen(what)
         });
-        down.last = last;
-        let boundary = followed.map_err(|_| End::ServerFault)?;
-        let told = match boundary {
-            Some(boundary) if down.moving => {
-                down.over = true;
-                net::write_gathered(&self.client, &[&bytes[..boundary], words])
-            }
-            _ => net::write_gathered(&self.client, &[bytes]),
-        };
-        told.map_err(|_| End::ClientBroke).map(|()| down.over)
+        let Followed { consumed, boundary, dropped } = followed.map_err(|_| End::ServerFault)?;
+        let end = boundary.filter(|_| down.moving).unwrap_or(consumed);
+        let (mut parts, mut from) = (Vec::with_capacity(dropped.len() + 2), 0);
+        for gap in dropped.iter().filter(|gap| gap.end <= end) {
+            parts.push(&down.kept[from..gap.start]);
+            from = gap.end;
+        }
+        parts.push(&down.kept[from..end]);
+        if down.moving && boundary.is_some() {
+            down.over = true;
+            parts.push(words);
+        }
+        net::write_gathered(&self.client, &parts).map_err(|_| End::ClientBroke)?;
+        down.kept.drain(..consumed);
+        Ok(down.over)
     }
 
     /// The server's pump: runs for as long as the connection stands.
@@ -229,7 +275,8 @@
         let mut chunk = [0; CHUNK];
         let mut patience = Duration::ZERO;
         loop {
-            let silent_for = lock(&self.asked).map_or(Duration::ZERO, |asked| asked.elapsed());
+            let oldest = lock(&self.asked).front().map(|asked| asked.at.elapsed());
+            let silent_for = oldest.unwrap_or(Duration::ZERO);
             if silent_for >= watch.silence {
                 return End::ServerSilent;
             }
@@ -245,7 +292,12 @@
                     let relayed =
                         self.backward(&chunk[..count], watch.moving, &mut |seen| self.note(seen, watch));
                     match relayed {
-                        Ok(false) => {}
+                        Ok(false) => {
+                            let leaves = watch.server_leaves.load(Ordering::Relaxed);
+                            if leaves && self.tell_to_move(watch.moving) {
+                                return End::ServerLeaving;
+                            }
+                        }
                         Ok(true) => return End::Moved,
                         Err(end) => return end,
                     }
@@ -264,21 +316,36 @@
         }
     }
 
-    fn note(&self, seen: Seen, watch: &Watch<'_>) {
-        match seen {
+    /// Takes note of a server's message; gives whether it goes on to the client.
+    fn note(&self, seen: Seen, watch: &Watch<'_>) -> bool {
+        let answered = match seen {
             Seen::Answered => {
-                let Some(asked) = lock(&self.asked).take() else { return };
-                let took = asked.elapsed();
-                let slow = took >= watch.core.slow();
-                // Once more when messages are no longer slow, so that the core hears of it.
-                if slow || watch.was_slow.swap(slow, Ordering::Relaxed) {
-                    watch.was_slow.store(slow, Ordering::Relaxed);
-                    watch.core.tell(Event::Noted(watch.id, Note::Delay(nanos(took))));
-                }
+                let mut asked = lock(&self.asked);
+                let oldest = asked.pop_front();
+                asked.clear();
+                oldest
             }
-            Seen::Load(load) => watch.core.tell(Event::Noted(watch.id, Note::Load(load))),
-            Seen::Asked | Seen::Goodbye | Seen::SentAway => {}
+            Seen::AnsweredOldest => lock(&self.asked).pop_front(),
+            Seen::Load(load) => {
+                watch.core.tell(Event::Noted(watch.id, Note::Load(load)));
+                return true;
+            }
+            Seen::Leaving => {
+                watch.server_leaves.store(true, Ordering::Relaxed);
+                return false;
+            }
+            Seen::Private => return false,
+            Seen::Asked | Seen::Goodbye | Seen::SentAway => return true,
+        };
+        let Some(Asked { at, own }) = answered else { return true };
+        let took = at.elapsed();
+        let slow = took >= watch.core.slow();
+        // Once more when messages are no longer slow, so that the core hears of it.
+        if slow || watch.was_slow.load(Ordering::Relaxed) {
+            watch.was_slow.store(slow, Ordering::Relaxed);
+            watch.core.tell(Event::Noted(watch.id, Note::Delay(nanos(took))));
         }
+        !own
     }
 
     /// Tells the client to move, now or, inside a message, at its end. True if it has been told.
@@ -304,6 +371,7 @@
     silence: Duration,
     moving: &'a [u8],
     was_slow: AtomicBool,
+    server_leaves: AtomicBool,
 }
 
 /// Keeps a connection standing until it ends; gives how. The server's pump runs on a thread of its own.
@@ -325,18 +393,18 @@
         return end;
     }
     core.tell(Event::Established(id));
-    if !ahead.is_empty()
-        && let Err(end) = link.backward(ahead, &moving, &mut |_| {})
-    {
-        return end;
-    }
     let pump = {
         let (link, server, core, end) = (Arc::clone(link), Arc::clone(server), core.clone(), end.clone());
-        let (silence, moving) = (front.silence(), moving.clone());
+        let (silence, moving, ahead) = (front.silence(), moving.clone(), ahead.clone());
         let run = move || {
-            let watch = Watch { core: &core, id, silence, moving: &moving, was_slow: AtomicBool::new(false) };
+            let (was_slow, server_leaves) = (AtomicBool::new(false), AtomicBool::new(false));
+            let watch = Watch { core: &core, id, silence, moving: &moving, was_slow, server_leaves };
+            let ended = match link.backward(&ahead, &moving, &mut |seen| link.note(seen, &watch)) {
+                Ok(_) => link.pump_server(&server, &watch),
+                Err(end) => end,
+            };
             // Nobody waits once the transaction is over.
-            let _ = end.send(PumpEnd::Server(link.pump_server(&server, &watch)));
+            let _ = end.send(PumpEnd::Server(ended));
         };
         std::thread::Builder::new().stack_size(net::STACK).spawn(run)
     };
@@ -352,9 +420,9 @@
         recv(orders) -> _ => None,
     };
     match ended {
-        Some(End::ServerSilent) => {
+        Some(end @ (End::ServerSilent | End::ServerLeaving)) => {
             link.tell_to_move(&moving);
-            End::ServerSilent
+            end
         }
         Some(end) => end,
         None if link.tell_to_move(&moving) => End::Moved,
@@ -399,6 +467,7 @@
         End::Served
         | End::SentAway
         | End::ServerEnded
+        | End::ServerLeaving
         | End::ServerSilent
         | End::ServerFault
         | End::Moved
--- a/balancer/src/stages/send.rs
+++ b/balancer/src/stages/send.rs
@@ -57,6 +57,8 @@
     ServerBroke,
     /// Its server is silent; the client was told to move.
     ServerSilent,
+    /// Its server said that it is about to leave; the client was told to move.
+    ServerLeaving,
     /// Its server broke the wire's rules.
     ServerFault,
     /// The client ended it.
@@ -77,6 +79,15 @@
         PassError::HeadPartlyWritten(written, error)
     }
 
+    /// A server that did not say what goes before the head: nothing was written, so nothing ran.
+    pub fn before_head(error: ReadError) -> PassError {
+        PassError::NotConnected(match error {
+            ReadError::Broken(error) => error,
+            ReadError::TimedOut => io::ErrorKind::TimedOut.into(),
+            ReadError::Ended | ReadError::TooLong => io::ErrorKind::InvalidData.into(),
+        })
+    }
+
     /// What the decision module is told.
     pub fn outcome(&self) -> Outcome {
         match self {
@@ -98,6 +109,7 @@
             End::Served => Outcome::Served,
             End::ServerEnded | End::ServerBroke | End::ServerSilent | End::ServerFault => Outcome::Reset,
             End::SentAway
+            | End::ServerLeaving
             | End::ClientEnded
             | End::ClientBroke
             | End::ClientFault(_)
--- a/balancer/src/stages/transaction.rs
+++ b/balancer/src/stages/transaction.rs
@@ -3,7 +3,7 @@
 use std::net::TcpStream;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crossbeam_channel::{Receiver, Sender, unbounded};
 
@@ -14,6 +14,9 @@
 use crate::stages::relay::{self, Link, PumpEnd};
 use crate::stages::send::{self, End, PassError, Passed};
 
+/// A client whose opening was refused is read for so long.
+const LAST_WORD: Duration = Duration::from_millis(200);
+
 /// Takes a client's connection from its opening to its end.
 pub fn run<F: Front>(front: &Arc<F>, client: TcpStream, core: &Handle) {
     if net::prepare(&client).is_err() {
@@ -30,7 +33,8 @@
         Err(OpeningError::Refused { answer, why }) => {
             log::line(Level::Warn, front.name(), format_args!("opening refused: {why}"));
             let _ = net::write_gathered(&client, &[&answer]);
-            return net::finish(&client);
+            net::finish(&client);
+            return net::drain(&client, LAST_WORD);
         }
     };
     let link = Arc::new(Link::new(&**front, client, intake.into_rest()));
--- /dev/null
+++ b/balancer/tests/platform.rs
@@ -0,0 +1,220 @@
+//! Stories of the platform's front: the program, clients, application servers and discovery over loopback.
+
+mod support;
+
+use std::net::{SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+
+use support::*;
+
+/// A balancer with application servers `s0`, `s1` and so on.
+struct Site {
+    program: Program,
+    at: SocketAddr,
+    servers: Vec<TcpListener>,
+    discovery: Discovery,
+}
+
+impl Site {
+    fn start(name: &str, servers: usize) -> Site {
+        let (at, discovery) = (free(), Discovery::start());
+        let servers: Vec<TcpListener> = (0..servers).map(|_| listener()).collect();
+        let names: Vec<String> = (0..servers.len()).map(|number| format!("s{number}")).collect();
+        let rows: Vec<(&str, SocketAddr, &str)> = names
+            .iter()
+            .zip(&servers)
+            .map(|(name, server)| (name.as_str(), server.local_addr().expect("bound"), "SERVING"))
+            .collect();
+        let known = list(1, true, &rows);
+        let config = format!(
+            r#"{{"name":"n0","listen":"{at}","discovery":"{}","seed":"7","limits":{{"sockets":256}},
+                "known":{known},"settings":{SETTINGS}}}"#,
+            discovery.address
+        );
+        let path = file(name, &config);
+        let program = Program::start(&[], &[("LB_CONFIG", &path)]);
+        program.says("serves on");
+        Site { program, at, servers, discovery }
+    }
+
+    /// A client that has sent its opening.
+    fn open(&self, class: &str, extra: &str) -> Peer {
+        let mut client = Peer::connect(self.at);
+        client.say(&format!("OPEN 01 02 c={class},t=acme,d=2500,g=3{extra}\r\n"));
+        client
+    }
+
+    /// A standing connection: client and server.
+    fn stand(&self) -> (Peer, Peer) {
+        let mut client = self.open("chat", "");
+        let mut server = Peer::accept(&self.servers[0]);
+        server.hear().expect("an opening");
+        server.say("UP r1\r\n");
+        client.hears("UP r1");
+        (client, server)
+    }
+}
+
+#[test]
+fn a_connection_is_served_relayed_and_ended_the_same_way() {
+    let site = Site::start("serve", 1);
+    let mut client = Peer::connect(site.at);
+    client.say("PING\r\n");
+    client.hears("PONG");
+    client.say("OPEN 01 02 c=chat,t=acme,d=2500,g=3,h=1.5\r\nearly\r\n");
+    let mut server = Peer::accept(&site.servers[0]);
+    let line = server.hear().expect("an opening");
+    let wait =
+        line.strip_prefix("OPEN 01 02 c=chat,t=acme,d=").and_then(|rest| rest.strip_suffix(",g=3,h=1.5"));
+    let wait: u64 = wait.expect("all but d is unchanged").parse().expect("a number");
+    assert!((1..=400).contains(&wait), "{wait} is how long this balancer waits");
+    server.say("UP r7\r\nLOAD 12.5\r\nhal");
+    client.hears("UP r7");
+    client.hears("LOAD 12.5");
+    assert_eq!(client.bytes(3), "hal", "half a line is not held back");
+    server.hears("early");
+    server.say("f\r\nBYE\r\n");
+    server.finish();
+    client.hears("f");
+    client.hears("BYE");
+    client.ended();
+    let (client, mut server) = site.stand();
+    client.finish();
+    server.ended();
+}
+
+#[test]
+fn a_reset_is_passed_on_as_a_reset() {
+    let site = Site::start("reset", 1);
+    let (mut client, server) = site.stand();
+    socket2::SockRef::from(&server.stream).set_linger(Some(Duration::ZERO)).expect("open");
+    drop(server);
+    assert!(client.was_reset());
+}
+
+#[test]
+fn a_pass_turned_away_is_repeated_and_the_last_answer_comes_at_once_with_a_time() {
+    let site = Site::start("busy", 1);
+    let mut client = site.open("chat", "");
+    for _ in 0..4 {
+        let mut server = Peer::accept(&site.servers[0]);
+        server.hear().expect("an opening");
+        server.say("BUSY\r\n");
+        server.ended();
+    }
+    let answered = Instant::now();
+    let answer = client.hear().expect("an answer");
+    let after = answer.strip_prefix("BUSY ").and_then(|millis| millis.parse::<u64>().ok());
+    assert!(after.is_some_and(|after| after <= 2000), "{answer}");
+    assert!(answered.elapsed() < Duration::from_millis(300), "not held back");
+    client.ended();
+}
+
+#[test]
+fn what_may_have_run_and_must_not_run_twice_is_failed() {
+    let site = Site::start("once", 1);
+    let mut client = site.open("once", "");
+    let mut server = Peer::accept(&site.servers[0]);
+    server.hear().expect("an opening");
+    drop(server);
+    client.hears("ERR");
+    client.ended();
+}
+
+#[test]
+fn a_client_that_leaves_ends_its_pass_and_one_that_speaks_nonsense_costs_only_itself() {
+    let site = Site::start("leave", 1);
+    let client = site.open("chat", "");
+    let mut server = Peer::accept(&site.servers[0]);
+    server.hear().expect("an opening");
+    drop(client);
+    server.ended();
+    let mut bad = Peer::connect(site.at);
+    bad.say("HELLO\r\n");
+    bad.hears("SYNTAX");
+    let mut long = Peer::connect(site.at);
+    long.say(&"x".repeat(4096));
+    assert!(long.was_reset() || long.hear().is_none());
+    site.stand();
+}
+
+#[test]
+fn a_connection_from_before_the_start_goes_back_to_its_server_also_at_the_second_try() {
+    let site = Site::start("held", 2);
+    let mut client = site.open("chat", ",at=s1");
+    let mut server = Peer::accept(&site.servers[1]);
+    server.hear().expect("an opening");
+    drop(server);
+    let mut server = Peer::accept(&site.servers[1]);
+    assert!(server.hear().expect("an opening").ends_with(",at=s1"));
+    server.say("UP r1\r\n");
+    client.hears("UP r1");
+}
+
+#[test]
+fn a_silent_server_costs_its_client_a_move_before_the_rule_does() {
+    let site = Site::start("silent", 1);
+    let (mut client, _server) = site.stand();
+    client.say("M 1\r\n");
+    let asked = Instant::now();
+    client.hears("MOVE");
+    client.ended();
+    assert!(asked.elapsed() < Duration::from_millis(6_500));
+}
+
+#[test]
+fn a_draining_server_gets_nothing_new_and_its_clients_are_moved() {
+    let site = Site::start("drain", 2);
+    let mut client = site.open("chat", ",at=s0");
+    let mut server = Peer::accept(&site.servers[0]);
+    server.hear().expect("an opening");
+    server.say("UP r1\r\n");
+    client.hears("UP r1");
+    let drains = site.servers[0].local_addr().expect("bound");
+    tell(&mut site.discovery.watch(), 2, false, &[("s0", drains, "DRAINING")]);
+    site.program.says("generation=2");
+    for _ in 0..4 {
+        let mut newcomer = site.open("chat", "");
+        let mut server = Peer::accept(&site.servers[1]);
+        server.hear().expect("an opening");
+        server.say("UP r2\r\n");
+        newcomer.hears("UP r2");
+    }
+    client.hears("MOVE");
+    client.ended();
+    site.servers[0].set_nonblocking(true).expect("open");
+    assert!(site.servers[0].accept().is_err(), "nothing new");
+}
+
+#[test]
+fn a_watch_without_heartbeats_is_asked_for_again_and_the_old_list_holds() {
+    let site = Site::start("watch", 1);
+    let _silent = site.discovery.watch();
+    let begun = Instant::now();
+    let mut again = site.discovery.watch();
+    // What the first would have told counts as told after 6 s.
+    assert!(begun.elapsed() < Duration::from_secs(6));
+    site.stand();
+    tell(&mut again, 5, true, &[]);
+    site.program.says("generation=5");
+}
+
+#[test]
+fn at_a_planned_restart_clients_are_moved_between_lines_and_newcomers_answered() {
+    let mut site = Site::start("term", 1);
+    let (mut client, mut server) = site.stand();
+    server.say("whole\r\nhal");
+    client.hears("whole");
+    assert_eq!(client.bytes(3), "hal");
+    site.program.terminate();
+    site.program.says("leaving");
+    let mut late = site.open("chat", "");
+    late.hears("BUSY");
+    server.say("f\r\nnever relayed\r\n");
+    client.hears("f");
+    // Another line may have gone on before the move was ordered.
+    let last = std::iter::from_fn(|| client.hear()).last();
+    assert_eq!(last.as_deref(), Some("MOVE"));
+    server.ended();
+    assert!(site.program.left(), "it leaves by itself");
+}
--- /dev/null
+++ b/balancer/tests/support/mod.rs
@@ -0,0 +1,224 @@
+//! The program under test and its scripted peers, over loopback.
+
+#![allow(dead_code, reason = "each test file uses its part")]
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant};
+
+/// Longer than anything here takes; a test that waits for so long has failed.
+pub const PATIENCE: Duration = Duration::from_secs(10);
+
+pub const SETTINGS: &str = r#"{"discovery":"subscribe","zones":["a"],"zone":0,"balancers":1,
+    "lanes":[{"name":"chat","on-time-ns":400000000,"hard-limit-ns":3000000000,"effect":"retryable","value":1.0},
+             {"name":"once","on-time-ns":400000000,"hard-limit-ns":3000000000,"effect":"fragile","value":1.0}],
+    "policy-limits":{"max-attempts":4,"connect-timeout-ns":200000000,"retry-after":true,"max-retry-after-ns":2000000000},
+    "rules":{"cold-share":0.2,"cold-ns":20000000000,"tip-multiple":3.0,"fall-ns":1500000000,"ask-within-ns":10000000000}}"#;
+
+/// A listener at an address that nobody else in this process or another test's has.
+pub fn listener() -> TcpListener {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let pid = std::process::id();
+    let [_, _, high, low] = pid.to_be_bytes();
+    let address = Ipv4Addr::new(127, high | 0x40, low, NEXT.fetch_add(1, Ordering::Relaxed));
+    TcpListener::bind((address, 0)).expect("loopback")
+}
+
+/// An address that is free.
+pub fn free() -> SocketAddr {
+    listener().local_addr().expect("bound")
+}
+
+/// The program, killed at the end of its test.
+pub struct Program {
+    child: Child,
+    log: Receiver<String>,
+}
+
+impl Program {
+    pub fn start(args: &[&str], env: &[(&str, &str)]) -> Program {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_beaconflow-balancer"));
+        command.args(args).envs(env.iter().copied()).stderr(Stdio::piped());
+        let mut child = command.spawn().expect("the program starts");
+        let lines = BufReader::new(child.stderr.take().expect("piped")).lines();
+        let (send, log) = channel();
+        std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| send.send(line)));
+        Program { child, log }
+    }
+
+    /// Waits for a log line with these words.
+    pub fn says(&self, words: &str) -> String {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            let line = self.log.recv_timeout(left).unwrap_or_else(|_| panic!("the log never said {words:?}"));
+            if line.contains(words) {
+                return line;
+            }
+        }
+    }
+
+    pub fn terminate(&self) {
+        let done = Command::new("kill").arg(self.child.id().to_string()).status().expect("kill runs");
+        assert!(done.success());
+    }
+
+    /// Waits for the program's own end.
+    pub fn left(&mut self) -> bool {
+        let until = Instant::now() + PATIENCE;
+        while Instant::now() < until {
+            if let Some(status) = self.child.try_wait().expect("a child") {
+                return status.success();
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        panic!("the program never left");
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// One end of a connection that speaks lines.
+pub struct Peer {
+    pub stream: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+impl Peer {
+    pub fn new(stream: TcpStream) -> Peer {
+        stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
+        let reader = BufReader::new(stream.try_clone().expect("a socket"));
+        Peer { stream, reader }
+    }
+
+    pub fn connect(to: SocketAddr) -> Peer {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            match TcpStream::connect(to) {
+                Ok(stream) => return Peer::new(stream),
+                Err(error) => assert!(Instant::now() < until, "{to}: {error}"),
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// The next connection. Guards against a test that would wait without an end.
+    pub fn accept(from: &TcpListener) -> Peer {
+        let until = Instant::now() + PATIENCE;
+        from.set_nonblocking(true).expect("open");
+        loop {
+            match from.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(false).expect("open");
+                    return Peer::new(stream);
+                }
+                Err(error) => assert!(Instant::now() < until, "no connection: {error}"),
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    pub fn say(&mut self, words: &str) {
+        self.stream.write_all(words.as_bytes()).expect("the peer reads");
+    }
+
+    /// The next line without its end; nothing at the end of the connection.
+    pub fn hear(&mut self) -> Option<String> {
+        let mut line = String::new();
+        match self.reader.read_line(&mut line) {
+            Ok(0) => None,
+            Ok(_) => Some(line.trim_end().to_owned()),
+            Err(error) => panic!("no line: {error}"),
+        }
+    }
+
+    pub fn hears(&mut self, words: &str) {
+        assert_eq!(self.hear().as_deref(), Some(words));
+    }
+
+    /// So many bytes as they come.
+    pub fn bytes(&mut self, count: usize) -> String {
+        let mut bytes = vec![0; count];
+        self.reader.read_exact(&mut bytes).expect("so many bytes");
+        String::from_utf8(bytes).expect("text")
+    }
+
+    pub fn ended(&mut self) {
+        assert_eq!(self.hear(), None, "nothing but the end");
+    }
+
+    /// Whether the connection was reset.
+    pub fn was_reset(&mut self) -> bool {
+        self.reader.read(&mut [0]).is_err_and(|error| error.kind() == std::io::ErrorKind::ConnectionReset)
+    }
+
+    pub fn finish(&self) {
+        self.stream.shutdown(Shutdown::Write).expect("open");
+    }
+}
+
+/// Discovery: each watch begins with the present list and is then told what the test says.
+pub struct Discovery {
+    pub address: SocketAddr,
+    watches: Receiver<Peer>,
+}
+
+impl Discovery {
+    pub fn start() -> Discovery {
+        let listener = listener();
+        let address = listener.local_addr().expect("bound");
+        let (send, watches) = channel();
+        std::thread::spawn(move || accept_watches(&listener, &send));
+        Discovery { address, watches }
+    }
+
+    /// The next watch that is asked for.
+    pub fn watch(&self) -> Peer {
+        self.watches.recv_timeout(PATIENCE).expect("a watch")
+    }
+}
+
+fn accept_watches(listener: &TcpListener, send: &Sender<Peer>) {
+    loop {
+        let Ok((stream, _)) = listener.accept() else { return };
+        let mut peer = Peer::new(stream);
+        let asked = peer.hear().expect("a request");
+        assert!(asked.starts_with("GET /api/targets?watch=1&from="), "{asked}");
+        while peer.hear().is_some_and(|line| !line.is_empty()) {}
+        peer.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        if send.send(peer).is_err() {
+            return;
+        }
+    }
+}
+
+/// Tells a watch of servers: name, address, lifecycle.
+pub fn tell(watch: &mut Peer, generation: u32, reset: bool, servers: &[(&str, SocketAddr, &str)]) {
+    let list = list(generation, reset, servers);
+    watch.say(&format!("{:x}\r\n{list}\n\r\n", list.len() + 1));
+}
+
+pub fn list(generation: u32, reset: bool, servers: &[(&str, SocketAddr, &str)]) -> String {
+    let row = |(name, address, state): &(&str, SocketAddr, &str)| {
+        format!(
+            r#"{{"instanceId":"{name}","hostPort":"{address}","zone":"a","lifecycle":"{state}","weight":1.0}}"#
+        )
+    };
+    let rows: Vec<String> = servers.iter().map(row).collect();
+    format!(r#"{{"generation":{generation},"reset":{reset},"instances":[{}]}}"#, rows.join(","))
+}
+
+/// A file for one test.
+pub fn file(name: &str, text: &str) -> String {
+    let path = std::env::temp_dir().join(format!("beaconflow-{}-{name}", std::process::id()));
+    std::fs::write(&path, text).expect("a folder for temporary files");
+    path.to_str().expect("text").to_owned()
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -19,6 +19,7 @@
 #![forbid(unsafe_code)]
 
 use std::fmt;
+use std::time::Duration;
 
 use beaconflow::api::{Class, Discovery, Limits, Nanos, Prices, Repeat, Rules, Scope, Settings, ZoneId};
 use serde::Deserialize;
@@ -139,6 +140,11 @@
         self.lanes.iter().position(|lane| lane.name == name)
     }
 
+    /// How long a client of this class waits where its wire does not say; nothing for a class there is not.
+    pub fn patience(&self, class: usize) -> Duration {
+        self.lanes.get(class).map_or(Duration::ZERO, |lane| Duration::from_nanos(lane.hard_limit_ns))
+    }
+
     /// Whether a tenant has this name; any has where the site lists none.
     pub fn knows_tenant(&self, name: &str) -> bool {
         self.projects.is_empty() || self.projects.iter().any(|project| project.name == name)
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -37,6 +37,8 @@
 const EVEN_OVER_MEAN: f64 = 2.0;
 const EVEN_LEAST: f64 = 0.05;
 const EVEN_GAIN: f64 = 0.7;
+/// Connections moved off a leaving server in each housekeeping period, at least.
+const LEAVING_LEAST: usize = 4;
 /// A sign of strain after this long without one begins a new spell of it, in nanoseconds.
 const CALM: Nanos = 2_500_000_000;
 /// Signs of strain within this span count once, in nanoseconds.
@@ -582,6 +584,21 @@
         }
     }
 
+    /// Moves half of what stands on each server that drains or is gone, again and again. Guards against
+    /// clients that are cut off when their server leaves, and against all of them coming again at once.
+    fn empty_leaving(&mut self, out: &mut Vec<Action>) {
+        let leaving = self.books.servers.values().filter(|server| !server.ready);
+        let leaving: Vec<ServerId> = leaving.map(|server| server.entry.server).collect();
+        for id in leaving {
+            let there = self.books.heaviest_at(id);
+            let count = there.len().div_ceil(2).max(LEAVING_LEAST);
+            for (_, moved) in there.into_iter().take(count) {
+                out.push(Action::Move(moved));
+                self.books.forget(moved);
+            }
+        }
+    }
+
     /// Without strain a ceiling rises slowly, so that a passing trouble is forgotten; below the knee it rises
     /// faster. Guards against piled-up work that still cuts ceilings when the load has long been right.
     fn raise_ceilings(&mut self, now: Nanos) {
@@ -639,6 +656,7 @@
                 self.count_fleet(now);
                 self.raise_ceilings(now);
                 self.even_out(out);
+                self.empty_leaving(out);
                 self.watch_fleet(now);
                 out.extend(self.books.trouble(now, &mut self.tally).map(Action::Log));
                 self.wake(HOUSEKEEPING, Due::Housekeeping, out);
--- a/tests/list.rs
+++ b/tests/list.rs
@@ -198,3 +198,17 @@
     // A faded 9.5 clients a second stood on the warm server; 0.6 warm, three times that, for two seconds: 34.
     assert!((1..=42).contains(&sent), "{sent} of 60 gateways send at once");
 }
+
+#[test]
+fn clients_are_moved_off_a_server_that_leaves_bit_by_bit_and_to_the_last() {
+    for state in [State::Draining, State::Gone] {
+        let mut gateway = Gateway::with_servers(settings(), 2);
+        for id in 0..20 {
+            let standing = Event::Standing { arrival: arrival(id, SAFE, gateway.now), server: ServerId(0) };
+            gateway.tell(standing);
+        }
+        gateway.list(ListKind::Changes, vec![Entry { state, ..entry(0) }]);
+        let moves: Vec<usize> = (0..5).map(|_| gateway.pass(SECOND).len()).collect();
+        assert_eq!(moves, [10, 5, 4, 1, 0], "{state:?}");
+    }
+}
