--- a/balancer/tests/platform.rs
+++ b/balancer/tests/platform.rs
@@ -173,12 +173,15 @@
     let drains = site.servers[0].local_addr().expect("bound");
     tell(&mut site.discovery.watch(), 2, false, &[("s0", drains, "DRAINING")]);
     site.program.says("generation=2");
+    // They stay: servers that end their connections at once would be left alone for a while.
+    let mut standing = Vec::new();
     for _ in 0..4 {
         let mut newcomer = site.open("chat", "");
         let mut server = Peer::accept(&site.servers[1]);
         server.hear().expect("an opening");
         server.say("UP r2\r\n");
         newcomer.hears("UP r2");
+        standing.push((newcomer, server));
     }
     client.hears("MOVE");
     client.ended();
