Prove the NATS front by stories that check every rule after every exchange

Stand-ins for a NATS server and Redis stand in the tests. Seen: with credentials that matched, the program ended without a word: Argon2 overflowed a connection's 96 KiB stack (front/nats/tenants.rs, proves()). Hashes are now worked out on a thread of their own, one at a time; the front sets its stack. Two faults were the tests' own: a watch without heartbeats dies after 3.5 s as it must, and a stand-in's PONG fell into a message that it had begun.

--- a/balancer/src/front/mod.rs
+++ b/balancer/src/front/mod.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use crate::core::Opening;
-use crate::net::{Intake, ReadError};
+use crate::net::{self, Intake, ReadError};
 use crate::stages::send::PassError;
 
 /// A wire.
@@ -19,6 +19,11 @@
     /// The name under which its log lines stand.
     fn name(&self) -> &'static str;
 
+    /// The stack of a transaction's thread.
+    fn stack(&self) -> usize {
+        net::STACK
+    }
+
     /// Most bytes that are kept of what a client sends before its connection stands.
     fn most_early(&self) -> usize;
 
--- a/balancer/src/front/nats/mod.rs
+++ b/balancer/src/front/nats/mod.rs
@@ -133,6 +133,11 @@
         "nats"
     }
 
+    fn stack(&self) -> usize {
+        // The store's client wants more than the relay.
+        256 * 1024
+    }
+
     fn most_early(&self) -> usize {
         self.wire.most_early
     }
--- a/balancer/src/front/nats/tenants.rs
+++ b/balancer/src/front/nats/tenants.rs
@@ -9,6 +9,7 @@
 use argon2::password_hash::rand_core::{OsRng, RngCore};
 use argon2::password_hash::{PasswordHash, PasswordHasher, PasswordVerifier, SaltString};
 use argon2::{Algorithm, Argon2, Params, Version};
+use crossbeam_channel::{Sender, bounded};
 use redis::{Commands, Connection, RedisResult};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -23,6 +24,9 @@
 /// store that is away.
 const AWAY: Duration = Duration::from_secs(1);
 
+/// Passwords that wait to be hashed; more wait at their connections.
+const MOST_CLAIMS: usize = 64;
+
 /// A tenant's record. It has no `Debug`, so that no log line can show its secrets.
 #[derive(Clone, Serialize, Deserialize)]
 pub struct Tenant {
@@ -83,11 +87,19 @@
     proven: Mutex<BTreeMap<String, [u8; 32]>>,
     /// For those digests; new with each start.
     pepper: [u8; 32],
-    /// One hash is worked out at a time. Guards against wrong passwords that would take all of the one core.
-    hashing: Mutex<()>,
+    /// The thread that works hashes out, one at a time. Guards against wrong passwords that would take all of the
+    /// one core, and against a hash on a connection's small stack, which it overflows.
+    hashing: Sender<Claim>,
     open: Arc<Mutex<BTreeMap<String, usize>>>,
 }
 
+/// A password that claims to be the one of a hash, and where to say whether it is.
+struct Claim {
+    password: String,
+    hash: String,
+    answer: Sender<bool>,
+}
+
 /// Counts one connection of a tenant for as long as it lives.
 pub struct Admitted {
     name: String,
@@ -117,13 +129,23 @@
         let client = redis::Client::open(url).map_err(|error| format!("store.url: {error}"))?;
         let mut pepper = [0; 32];
         OsRng.fill_bytes(&mut pepper);
+        let (hashing, claims) = bounded::<Claim>(MOST_CLAIMS);
+        let work = move || {
+            for Claim { password, hash, answer } in claims {
+                let proves = |hash| hasher().verify_password(password.as_bytes(), &hash).is_ok();
+                // A client that has left waits for no answer.
+                let _ = answer.send(PasswordHash::new(&hash).is_ok_and(proves));
+            }
+        };
+        let thread = std::thread::Builder::new().name("hashing".into()).spawn(work);
+        thread.map_err(|error| format!("thread hashing: {error}"))?;
         Ok(Tenants {
             store: Store { client, state: Mutex::default() },
             fresh,
             copies: Mutex::default(),
             proven: Mutex::default(),
             pepper,
-            hashing: Mutex::default(),
+            hashing,
             open: Arc::default(),
         })
     }
@@ -232,9 +254,9 @@
         if lock(&self.proven).get(&tenant.name) == Some(&digest) {
             return true;
         }
-        let _one_at_a_time = lock(&self.hashing);
-        let Ok(hash) = PasswordHash::new(&tenant.secret) else { return false };
-        let proven = hasher().verify_password(password.as_bytes(), &hash).is_ok();
+        let (answer, answered) = bounded(1);
+        let claim = Claim { password: password.to_owned(), hash: tenant.secret.clone(), answer };
+        let proven = self.hashing.send(claim).is_ok() && answered.recv().unwrap_or(false);
         if proven {
             lock(&self.proven).insert(tenant.name.clone(), digest);
         }
--- a/balancer/src/stages/take_in.rs
+++ b/balancer/src/stages/take_in.rs
@@ -43,7 +43,7 @@
         let _counted = counted;
         transaction::run(&its_front, client, &its_core);
     };
-    if let Err(error) = std::thread::Builder::new().stack_size(net::STACK).spawn(run) {
+    if let Err(error) = std::thread::Builder::new().stack_size(front.stack()).spawn(run) {
         // The client went with the thread that was not had.
         log::line(Level::Error, front.name(), format_args!("no thread: {error}"));
     }
--- /dev/null
+++ b/balancer/tests/nats.rs
@@ -0,0 +1,289 @@
+//! Stories of the NATS front: the program, clients, and stand-ins for NATS servers and Redis over loopback.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use support::nats::*;
+use support::*;
+
+const TOKEN: &str = "an operator's own token";
+const PASSWORD: &str = "acme's own password";
+
+/// A balancer with its stores, its farm told by discovery.
+struct Site {
+    program: Program,
+    at: SocketAddr,
+    admin: SocketAddr,
+    redis: Redis,
+    discovery: Discovery,
+    record: Shared,
+}
+
+impl Site {
+    fn start(name: &str) -> Site {
+        let (at, admin, redis, discovery) = (free(), free(), Redis::start(), Discovery::start());
+        let settings = SETTINGS.replace("\n", " ");
+        let settings: serde_json::Value = serde_json::from_str(&settings).expect("JSON");
+        let file_text = format!(
+            "name = \"front\"\nlisten = \"{at}\"\nsockets = 256\n\
+             wire = {{ max_payload = 64, connect_wait_ms = 300, ping_after_ms = 300, silence_ms = 600 }}\n\
+             store = {{ url = \"redis://{}/\", fresh_ms = 1 }}\nadmin = {{ listen = \"{admin}\", token = \"{TOKEN}\" }}\n\
+             farm = {{ discovery = \"{}\" }}\n{}",
+            redis.address,
+            discovery.address,
+            toml::to_string(&serde_json::json!({ "settings": settings })).expect("TOML")
+        );
+        let path = file(name, &file_text);
+        let program = Program::start(&["--operator", &path], &[]);
+        program.says("nats on");
+        let site = Site { program, at, admin, redis, discovery, record: Shared::default() };
+        assert_eq!(site.ask("POST", "/v1/tenants", &tenant("acme", "chat", 8)).0, 201);
+        assert_eq!(site.ask("POST", "/v1/tenants", &tenant("once", "once", 8)).0, 201);
+        site
+    }
+
+    fn ask(&self, method: &str, path: &str, body: &str) -> (u16, String) {
+        let (status, text) = ask(self.admin, method, path, TOKEN, body);
+        for secret in [PASSWORD, TOKEN, "up-secret", "argon2"] {
+            assert!(!text.contains(secret), "{text}");
+        }
+        (status, text)
+    }
+
+    fn client(&self, name: &str) -> Peer {
+        client(self.at, name, "acme", PASSWORD)
+    }
+
+    /// The client's one final answer, booked; every rule holds after it.
+    fn answer(&self, name: &str, client: &mut Peer) -> String {
+        let answer = client.hear().expect("an answer");
+        self.record.lock().expect("sound").answered(name, &answer);
+        self.check();
+        answer
+    }
+
+    fn check(&self) {
+        self.record.lock().expect("sound").check();
+    }
+
+    fn server(&self, name: &str, manner: Manner) -> NatsServer {
+        NatsServer::start(name, manner, &self.record)
+    }
+}
+
+fn tenant(name: &str, class: &str, connections: usize) -> String {
+    format!(
+        r#"{{"name":"{name}","password":"{PASSWORD}","class":"{class}","connections":{connections},
+            "upstream":{{"user":"up","password":"up-secret"}}}}"#
+    )
+}
+
+fn rows<'a>(servers: &[(&'a NatsServer, &'a str)]) -> Vec<(&'a str, SocketAddr, &'a str)> {
+    servers.iter().map(|(server, state)| (server.name.as_str(), server.address, *state)).collect()
+}
+
+#[test]
+fn every_rule_holds_after_every_exchange() {
+    let site = Site::start("rules");
+    let mut watch = beating(site.discovery.watch());
+    // A server that takes CONNECT and falls silent, one that is full, one that hangs up, one that serves.
+    let hung = site.server("hung", Manner::SilentAfterConnect);
+    let full = site.server("full", Manner::Full);
+    let mute = site.server("mute", Manner::Mute);
+    let good = site.server("good", Manner::Serve);
+    let all = [(&hung, "SERVING"), (&full, "SERVING"), (&mute, "SERVING"), (&good, "SERVING")];
+    tell(&mut watch, 1, true, &rows(&all));
+    site.program.says("generation=1");
+    let mut standing = Vec::new();
+    for number in 0..4 {
+        let name = format!("client-{number}");
+        let mut client = site.client(&name);
+        let answer = site.answer(&name, &mut client);
+        if answer == "PONG" {
+            // Payloads hold what looks like the wire's own words; keepalives cross them either way, in pieces.
+            client.say("PUB t 12\r\nPING\r\n");
+            std::thread::sleep(Duration::from_millis(5));
+            client.say("PONG\r\n\r\nPI");
+            client.say("NG\r\n");
+            client.hears("PING");
+            client.hears("MSG t 1 12");
+            assert_eq!(client.bytes(14), "PING\r\nPONG\r\n\r\n");
+            client.hears("PONG");
+            client.say("PONG\r\n");
+            standing.push(client);
+        } else {
+            assert!(
+                answer.starts_with("-ERR 'Service Unavailable") || answer == "-ERR 'Connection Failed'",
+                "{answer}"
+            );
+            client.ended();
+        }
+        site.check();
+    }
+    // Only one of them serves from now on; then it drains, and its clients are moved to another.
+    let next = site.server("next", Manner::Serve);
+    let now = [(&hung, "DELETED"), (&full, "DELETED"), (&mute, "DELETED"), (&good, "SERVING")];
+    tell(&mut watch, 2, false, &rows(&now));
+    site.program.says("generation=2");
+    let mut last = site.client("last");
+    assert_eq!(site.answer("last", &mut last), "PONG");
+    standing.push(last);
+    let drains = [(&good, "DRAINING"), (&next, "SERVING")];
+    site.record.lock().expect("sound").drains("good");
+    tell(&mut watch, 3, false, &rows(&drains));
+    site.program.says("generation=3");
+    for mut client in standing {
+        let moved = client.hear().expect("a word before the end");
+        assert!(moved.starts_with("INFO {") && moved.contains("\"ldm\":true"), "{moved}");
+        client.ended();
+        site.check();
+    }
+    for number in 0..3 {
+        let name = format!("again-{number}");
+        let mut client = site.client(&name);
+        assert_eq!(site.answer(&name, &mut client), "PONG");
+    }
+    drop((hung, full, mute, good, next));
+}
+
+#[test]
+fn outcomes_decide_whether_a_pass_is_repeated() {
+    let site = Site::start("outcomes");
+    let mut watch = beating(site.discovery.watch());
+    let only = site.server("only", Manner::Forbid);
+    tell(&mut watch, 1, true, &rows(&[(&only, "SERVING")]));
+    site.program.says("generation=1");
+    // An error may have run: a class that must not run twice is failed after one pass, at once.
+    for (number, manner) in [Manner::Forbid, Manner::SilentAfterConnect].into_iter().enumerate() {
+        only.becomes(manner);
+        let name = format!("once-{number}");
+        let mut client = client(site.at, &name, "once", PASSWORD);
+        assert_eq!(site.answer(&name, &mut client), "-ERR 'Connection Failed'");
+        client.ended();
+        assert_eq!(site.record.lock().expect("sound").passes_of(&name), 1);
+    }
+    // What was turned away never ran: all attempts are made, and the answer says when to come back.
+    only.becomes(Manner::Full);
+    let mut client = client(site.at, "once-full", "once", PASSWORD);
+    let answer = site.answer("once-full", &mut client);
+    assert!(
+        answer.starts_with("-ERR 'Service Unavailable; try again in ") && answer.ends_with(" ms'"),
+        "{answer}"
+    );
+    assert!(site.record.lock().expect("sound").passes_of("once-full") > 1);
+}
+
+#[test]
+fn a_standing_server_that_falls_silent_or_says_that_it_leaves_costs_its_client_a_move() {
+    let site = Site::start("silent");
+    let mut watch = beating(site.discovery.watch());
+    let only = site.server("only", Manner::Serve);
+    tell(&mut watch, 1, true, &rows(&[(&only, "SERVING")]));
+    site.program.says("generation=1");
+    let mut client = site.client("first");
+    assert_eq!(site.answer("first", &mut client), "PONG");
+    // The client asks nothing: the balancer's own PINGs find the silence, and their PONGs were not passed on.
+    std::thread::sleep(Duration::from_millis(700));
+    let silent_from = Instant::now();
+    only.silent.store(true, Ordering::Relaxed);
+    assert!(client.hear().expect("a move").contains("\"ldm\":true"));
+    client.ended();
+    assert!(silent_from.elapsed() < Duration::from_secs(3));
+    only.silent.store(false, Ordering::Relaxed);
+    let mut client = site.client("second");
+    assert_eq!(site.answer("second", &mut client), "PONG");
+    // Its addresses are not passed on; a message that has begun is ended first.
+    let speaking = only.voice.lock().expect("sound");
+    only.says("INFO {\"connect_urls\":[\"10.0.0.1:4222\"],\"ldm\":true}\r\nMSG t 1 5\r\nhel");
+    client.hears("MSG t 1 5");
+    assert_eq!(client.bytes(3), "hel");
+    only.says("lo\r\nMSG t 1 1\r\n");
+    drop(speaking);
+    client.hears("lo");
+    let moved = std::iter::from_fn(|| client.hear()).last().expect("a move");
+    assert!(moved.contains("\"ldm\":true") && !moved.contains("connect_urls"), "{moved}");
+    site.check();
+}
+
+#[test]
+fn openings_that_break_the_rules_are_refused_by_name() {
+    let site = Site::start("openings");
+    let only = site.server("only", Manner::Serve);
+    tell(&mut beating(site.discovery.watch()), 1, true, &rows(&[(&only, "SERVING")]));
+    site.program.says("generation=1");
+    for (words, answer) in [
+        ("", "-ERR 'Authentication Timeout'"),
+        ("PING\r\n", "-ERR 'Authorization Violation'"),
+        ("CONNECT nonsense\r\n", "-ERR 'Parser Error'"),
+        ("CONNECT {\"tls_required\":true}\r\n", "-ERR 'TLS Not Supported'"),
+        ("CONNECT {\"user\":\"acme\",\"pass\":\"wrong\"}\r\n", "-ERR 'Authorization Violation'"),
+        (&format!("CONNECT {}\r\n", "x".repeat(5000)), "-ERR 'Maximum Control Line Exceeded'"),
+    ] {
+        let mut client = Peer::connect(site.at);
+        client.hear().expect("INFO");
+        client.say(words);
+        client.hears(answer);
+        client.ended();
+    }
+    let mut client = site.client("large");
+    assert_eq!(site.answer("large", &mut client), "PONG");
+    client.say("PUB t 65\r\n");
+    client.hears("-ERR 'Maximum Payload Violation'");
+    client.ended();
+}
+
+#[test]
+fn tenants_are_kept_through_the_api_and_known_ones_outlive_the_store() {
+    let site = Site::start("tenants");
+    let only = site.server("only", Manner::Serve);
+    tell(&mut beating(site.discovery.watch()), 1, true, &rows(&[(&only, "SERVING")]));
+    site.program.says("generation=1");
+    assert_eq!(ask(site.admin, "GET", "/v1/tenants", "no token of ours", "").0, 401);
+    for (method, path, body, status) in [
+        ("POST", "/v1/tenants", tenant("acme", "chat", 1).as_str(), 409),
+        ("POST", "/v1/tenants", tenant("other", "nothing", 1).as_str(), 422),
+        ("POST", "/v1/tenants", "{", 400),
+        ("POST", "/v1/tenants", "{}", 422),
+        ("POST", "/v1/tenants", &"x".repeat(20_000), 413),
+        ("PUT", "/v1/tenants", "", 405),
+        ("GET", "/v1/tenants/nobody", "", 404),
+        ("GET", "/v2", "", 404),
+        ("PATCH", "/v1/tenants/acme", r#"{"connections":1}"#, 200),
+        ("PUT", "/v1/tenants/once/credentials", r#"{"password":"too short"}"#, 422),
+        ("PUT", "/v1/tenants/once/credentials", r#"{"password":"once's new password"}"#, 204),
+    ] {
+        assert_eq!(site.ask(method, path, body).0, status, "{method} {path}");
+    }
+    let mut rotated = client(site.at, "rotated", "once", PASSWORD);
+    rotated.hears("-ERR 'Authorization Violation'");
+    let mut rotated = client(site.at, "rotated", "once", "once's new password");
+    rotated.hears("PONG");
+    let mut first = site.client("first");
+    first.hears("PONG");
+    let mut second = site.client("second");
+    second.hears("-ERR 'Maximum Connections Exceeded'");
+    let (_, shown) = site.ask("GET", "/v1/tenants/acme", "");
+    assert!(shown.contains("\"open\":1") && shown.contains("\"connections\":1"), "{shown}");
+    assert!(site.ask("GET", "/v1/farm", "").1.contains("\"standing\":2"));
+    assert!(site.ask("GET", "/v1/counts", "").1.contains("\"served\":2"));
+    assert_eq!(site.ask("POST", "/v1/tenants", &tenant("unread", "chat", 1)).0, 201);
+    site.redis.goes_away(true);
+    assert_eq!(site.ask("GET", "/v1/tenants", "").0, 503);
+    let mut known = client(site.at, "known", "once", "once's new password");
+    known.hears("PONG");
+    let mut unknown = client(site.at, "unknown", "stranger", PASSWORD);
+    unknown.hears("-ERR 'Service Unavailable; try again in 1000 ms'");
+    site.redis.goes_away(false);
+    let back = Instant::now();
+    while site.ask("GET", "/v1/tenants", "").0 != 200 {
+        assert!(back.elapsed() < PATIENCE, "the store never came back");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(site.ask("DELETE", "/v1/tenants/once", "").0, 204);
+    assert_eq!(site.ask("DELETE", "/v1/tenants/once", "").0, 404);
+    let mut removed = client(site.at, "removed", "once", "once's new password");
+    removed.hears("-ERR 'Authorization Violation'");
+}
--- a/balancer/tests/support/mod.rs
+++ b/balancer/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses its part")]
 
+pub mod nats;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
@@ -186,6 +188,17 @@
     }
 }
 
+/// Keeps a watch alive, as discovery does, until its connection ends.
+pub fn beating(watch: Peer) -> Peer {
+    let mut stream = watch.stream.try_clone().expect("open");
+    std::thread::spawn(move || {
+        while stream.write_all(b"1\r\n\n\r\n").is_ok() {
+            std::thread::sleep(Duration::from_secs(1));
+        }
+    });
+    watch
+}
+
 fn accept_watches(listener: &TcpListener, send: &Sender<Peer>) {
     loop {
         let Ok((stream, _)) = listener.accept() else { return };
