--- a/src/rules.rs
+++ b/src/rules.rs
@@ -34,9 +34,9 @@
 const MOVED: f64 = 0.37;
 /// A server that holds this many times the mean load per weight is evened out, by connections that are at
 /// least this part of what it holds and that leave no server above this part of its load per weight.
-const EVEN_OVER_MEAN: f64 = 2.0;
-const EVEN_LEAST: f64 = 0.05;
-const EVEN_GAIN: f64 = 0.7;
+const EVEN_OVER_MEAN: f64 = 1.5;
+const EVEN_LEAST: f64 = 0.03;
+const EVEN_GAIN: f64 = 0.8;
 /// Connections moved off a leaving server in each housekeeping period, at least.
 const LEAVING_LEAST: usize = 4;
 /// A sign of strain after this long without one begins a new spell of it, in nanoseconds.
