--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -211,6 +211,7 @@
         key: message.resource.as_deref().map(|text| ClientKey(digest(text))),
         group: message.group.as_deref().map(|text| GroupId(digest(text))),
         load: message.expected_ns.map(|span| span as f64 / 1e3),
+        pin: None,
     })
 }
 
@@ -243,6 +244,7 @@
             zone: ZoneId(item.region_part),
             cell: item.block,
             weight: item.share,
+            rises_to: None,
             started_at: item.ready_at_ns,
         });
     }
--- /dev/null
+++ b/balancer/src/admin/farm.rs
@@ -0,0 +1,88 @@
+//! The farm and the counts, over the administration API.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use beaconflow::api::State;
+use serde_json::{Value, json};
+
+use super::http::Reply;
+use crate::core::{Look, ServerLook};
+use crate::front::nats::tenants::Tenants;
+use crate::overrides::{Keeper, NamedCore, Shown};
+
+fn look((front, core): &NamedCore) -> Result<Look, Reply> {
+    core.look().ok_or_else(|| Reply::error(503, format!("the core of {front} does not answer")))
+}
+
+/// What has been counted, by front.
+pub(super) fn counts(cores: &[NamedCore], tenants: Option<&Arc<Tenants>>) -> Result<Reply, Reply> {
+    let mut fronts = serde_json::Map::new();
+    for core @ (front, _) in cores {
+        let look = look(core)?;
+        let ends: BTreeMap<&str, u64> = look.counts.ends().collect();
+        let counts = &look.counts;
+        let row = json!({
+            "open": look.open, "standing": look.standing, "opened": counts.opened,
+            "served": counts.served, "unavailable": counts.unavailable, "failed": counts.failed,
+            "left": counts.left, "moved": counts.moved, "pinned": counts.pinned, "passes": counts.passes,
+            "ends": ends,
+        });
+        fronts.insert((*front).to_owned(), row);
+    }
+    let mut body = json!({ "fronts": fronts });
+    if let Some(tenants) = tenants {
+        body["tenants"] = json!(tenants.open());
+        body["store_away"] = tenants.store_is_away().into();
+    }
+    Ok(Reply::new(200, body))
+}
+
+/// Every listed server, as it is listed and as the decisions see it, and why the two differ.
+pub(super) fn farm(cores: &[NamedCore], keeper: &Keeper) -> Result<Reply, Reply> {
+    let overrides = keeper.list();
+    let (mut servers, mut warnings) = (Vec::new(), Vec::new());
+    for core @ (front, _) in cores {
+        let look = look(core)?;
+        if !look.judgement.is_sound() {
+            warnings.push(format!("{}: overrides leave {}", front, look.judgement));
+        }
+        servers.extend(look.farm.iter().map(|server| row(front, server, &overrides)));
+    }
+    Ok(Reply::new(200, json!({ "servers": servers, "warnings": warnings })))
+}
+
+fn row(front: &str, server: &ServerLook, overrides: &[Shown]) -> Value {
+    let about = overrides.iter().filter(|shown| shown.one.kind.server() == server.name);
+    let holds = |shown: &&Shown| {
+        let effect = shown.effects.iter().find(|(at, _)| *at == front);
+        effect.is_some_and(|(_, effect)| *effect == beaconflow_overrides::Effect::InEffect)
+    };
+    let why: Vec<String> = about
+        .filter(holds)
+        .map(|shown| {
+            let (one, left) = (&shown.one, shown.remaining / 1_000);
+            format!("override {} ({}, {left} s left): {}", one.id, one.kind.name(), one.why)
+        })
+        .collect();
+    let mut why = why;
+    if why.is_empty() && server.state.0 == server.state.1 && server.weight.0 != server.weight.1 {
+        why.push("its weight is on its way back after an override".into());
+    }
+    let side = |state: State, weight: f64| json!({ "state": name(state), "weight": weight });
+    json!({
+        "front": front, "name": server.name, "address": server.address.to_string(), "zone": server.zone,
+        "standing": server.standing, "leaving": server.state.1 != State::Ready,
+        "listed": side(server.state.0, server.weight.0), "effective": side(server.state.1, server.weight.1),
+        "why": why,
+    })
+}
+
+fn name(state: State) -> &'static str {
+    match state {
+        State::Ready => "ready",
+        State::Out => "out",
+        State::Draining => "draining",
+        State::Gone => "gone",
+    }
+}
--- /dev/null
+++ b/balancer/src/admin/http.rs
@@ -0,0 +1,174 @@
+//! HTTP/1.1 as the administration API needs it: one request a connection, a head and a body of bounded length.
+
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use crate::net::{self, Intake, ReadError};
+
+/// Longest head and longest body of a request.
+const LONGEST_HEAD: usize = 8 * 1024;
+const LONGEST_BODY: usize = 16 * 1024;
+/// A request is whole by then or is given up.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// An answered peer is read for so long.
+const LAST_WORD: Duration = Duration::from_millis(200);
+
+/// A request as it was read.
+pub struct Request {
+    /// GET and so on.
+    pub method: String,
+    /// The path, with its query.
+    pub path: String,
+    /// The bearer token.
+    pub token: Option<String>,
+    /// The revision that a change is meant for.
+    pub if_match: Option<String>,
+    /// The client's key for a request that must not be carried out twice.
+    pub idempotency_key: Option<String>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// An answer: status, further headers, and a body.
+pub struct Reply {
+    /// The status.
+    pub status: u16,
+    /// Headers that the status does not bring.
+    pub headers: Vec<(&'static str, String)>,
+    /// The body; none where it is null.
+    pub body: Value,
+}
+
+impl Reply {
+    /// An answer.
+    pub fn new(status: u16, body: Value) -> Reply {
+        Reply { status, headers: Vec::new(), body }
+    }
+
+    /// An answer that says what is wrong.
+    pub fn error(status: u16, why: impl Into<String>) -> Reply {
+        Reply::new(status, json!({ "error": why.into() }))
+    }
+
+    /// With one more header.
+    pub fn with(mut self, name: &'static str, value: impl Into<String>) -> Reply {
+        self.headers.push((name, value.into()));
+        self
+    }
+}
+
+/// Why there is no request.
+pub enum Unread {
+    /// The peer has left.
+    Gone,
+    /// It is told this.
+    Refused(Reply),
+}
+
+impl From<ReadError> for Unread {
+    fn from(error: ReadError) -> Unread {
+        match error {
+            ReadError::TimedOut => Unread::Refused(Reply::error(408, "the request did not come in time")),
+            ReadError::TooLong => Unread::Refused(Reply::error(431, "the head is too long")),
+            ReadError::Ended | ReadError::Broken(_) => Unread::Gone,
+        }
+    }
+}
+
+/// Reads a whole request.
+pub fn read(client: &TcpStream) -> Result<Request, Unread> {
+    let until = Instant::now() + PATIENCE;
+    let mut intake = Intake::new(LONGEST_HEAD);
+    let (mut request, head, length) = loop {
+        if let Some(parsed) = parse_head(intake.bytes())? {
+            break parsed;
+        }
+        intake.read(client, until)?;
+    };
+    if length > LONGEST_BODY {
+        return Err(Unread::Refused(Reply::error(413, "the body is too long")));
+    }
+    intake.take(head);
+    let mut body = Intake::holding(intake.into_rest(), LONGEST_BODY);
+    while body.bytes().len() < length {
+        body.read(client, until)?;
+    }
+    request.body = body.take(length);
+    Ok(request)
+}
+
+/// The request, the length of its head and that of its body; nothing while the head is not whole.
+fn parse_head(bytes: &[u8]) -> Result<Option<(Request, usize, usize)>, Unread> {
+    let refuse = |status, why| Unread::Refused(Reply::error(status, why));
+    let mut headers = [httparse::EMPTY_HEADER; 32];
+    let mut parsed = httparse::Request::new(&mut headers);
+    let head = match parsed.parse(bytes) {
+        Ok(httparse::Status::Complete(head)) => head,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(httparse::Error::TooManyHeaders) => return Err(refuse(431, "too many headers")),
+        Err(_) => return Err(refuse(400, "not an HTTP request")),
+    };
+    let header = |name: &str| {
+        let found = parsed.headers.iter().find(|header| header.name.eq_ignore_ascii_case(name));
+        found.and_then(|header| std::str::from_utf8(header.value).ok())
+    };
+    if header("transfer-encoding").is_some() {
+        return Err(refuse(411, "a body needs a content-length"));
+    }
+    let length = match header("content-length").map(str::parse) {
+        None => 0,
+        Some(Ok(length)) => length,
+        Some(Err(_)) => return Err(refuse(400, "a content-length that is no number")),
+    };
+    let request = Request {
+        method: parsed.method.unwrap_or_default().to_owned(),
+        path: parsed.path.unwrap_or_default().to_owned(),
+        token: header("authorization").and_then(|value| value.strip_prefix("Bearer ")).map(str::to_owned),
+        if_match: header("if-match").map(str::to_owned),
+        idempotency_key: header("idempotency-key").map(str::to_owned),
+        body: Vec::new(),
+    };
+    Ok(Some((request, head, length)))
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        202 => "Accepted",
+        204 => "No Content",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        409 => "Conflict",
+        412 => "Precondition Failed",
+        422 => "Unprocessable Content",
+        503 => "Service Unavailable",
+        507 => "Insufficient Storage",
+        _ => "Error",
+    }
+}
+
+/// Writes an answer and ends the connection.
+pub fn write(client: &TcpStream, reply: &Reply) {
+    let body = if reply.body.is_null() { String::new() } else { reply.body.to_string() };
+    let mut head = format!("HTTP/1.1 {} {}\r\nConnection: close\r\n", reply.status, reason(reply.status));
+    if reply.status != 204 {
+        head.push_str(&format!("Content-Type: application/json\r\nContent-Length: {}\r\n", body.len()));
+    }
+    if reply.status == 401 {
+        head.push_str("WWW-Authenticate: Bearer\r\n");
+    }
+    for (name, value) in &reply.headers {
+        head.push_str(&format!("{name}: {value}\r\n"));
+    }
+    head.push_str("\r\n");
+    // A peer that is gone needs no answer.
+    let until = Instant::now() + net::WRITE_PATIENCE;
+    let _ = net::write_until(client, &[head.as_bytes(), body.as_bytes()], until);
+    net::finish(client);
+    net::drain(client, LAST_WORD);
+}
--- /dev/null
+++ b/balancer/src/admin/mod.rs
@@ -0,0 +1,177 @@
+//! The administration API: HTTP and JSON on a loopback listener of its own, opened by a bearer token. It serves
+//! whichever fronts run.
+
+mod farm;
+mod http;
+mod overrides;
+mod tenants;
+
+use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use beaconflow_settings::Setup;
+use serde::Deserialize;
+use sha2::{Digest, Sha256};
+
+use self::http::{Reply, Request, Unread};
+use crate::front::nats::tenants::Tenants;
+use crate::log::{self, Level};
+use crate::net;
+use crate::overrides::{Keeper, NamedCore};
+
+/// Requests at once.
+const MOST_AT_ONCE: usize = 16;
+
+/// The administration API.
+pub struct Admin {
+    cores: Vec<NamedCore>,
+    keeper: Arc<Keeper>,
+    /// The tenants of the NATS front and their classes, where that front runs.
+    tenants: Option<(Arc<Tenants>, Arc<Setup>)>,
+    /// Digest of the token: what is compared takes as long whatever is sent.
+    token: [u8; 32],
+    at_once: AtomicUsize,
+}
+
+impl Admin {
+    /// An API over these cores, overrides and tenants.
+    pub fn new(
+        cores: Vec<NamedCore>,
+        keeper: Arc<Keeper>,
+        tenants: Option<(Arc<Tenants>, Arc<Setup>)>,
+        token: &str,
+    ) -> Admin {
+        Admin { cores, keeper, tenants, token: digest(token), at_once: AtomicUsize::new(0) }
+    }
+
+    /// Serves requests for as long as the program runs, each on a thread of its own.
+    pub fn listen(self: &Arc<Self>, listener: &TcpListener) {
+        loop {
+            let client = match listener.accept() {
+                Ok((client, _)) => client,
+                Err(error) => {
+                    log::line(Level::Warn, "admin", format_args!("accept: {error}"));
+                    std::thread::sleep(Duration::from_millis(10));
+                    continue;
+                }
+            };
+            let before = self.at_once.fetch_add(1, Ordering::Relaxed);
+            let admin = Arc::clone(self);
+            let run = move || {
+                let reply = if before < MOST_AT_ONCE {
+                    admin.serve(&client)
+                } else {
+                    Some(Reply::error(503, "too many requests at once"))
+                };
+                if let Some(reply) = reply {
+                    http::write(&client, &reply);
+                }
+                admin.at_once.fetch_sub(1, Ordering::Relaxed);
+            };
+            // The standard stack: hashing a password takes more than a connection's.
+            if std::thread::Builder::new().name("admin".into()).spawn(run).is_err() {
+                self.at_once.fetch_sub(1, Ordering::Relaxed);
+            }
+        }
+    }
+
+    /// Nothing where the peer has left without a request.
+    fn serve(&self, client: &TcpStream) -> Option<Reply> {
+        net::prepare(client).ok()?;
+        match http::read(client) {
+            Ok(request) => Some(self.answer(&request)),
+            Err(Unread::Gone) => None,
+            Err(Unread::Refused(reply)) => Some(reply),
+        }
+    }
+
+    fn answer(&self, request: &Request) -> Reply {
+        let known = request.token.as_deref().map(digest) == Some(self.token);
+        if !known {
+            return Reply::error(401, "a bearer token is needed");
+        }
+        let path = request.path.split('?').next().unwrap_or_default();
+        let path: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+        let Some(call) = Call::of(&path) else { return Reply::error(404, "no such path") };
+        let reply = match (call, request.method.as_str()) {
+            (Call::Tenants, "GET") => self.tenants().and_then(tenants::list),
+            (Call::Tenants, "POST") => self.tenants().and_then(|here| tenants::create(here, &request.body)),
+            (Call::Tenant(name), "GET") => self.tenants().and_then(|here| tenants::read(here, name)),
+            (Call::Tenant(name), "PATCH") => {
+                self.tenants().and_then(|here| tenants::change(here, name, &request.body))
+            }
+            (Call::Tenant(name), "DELETE") => self.tenants().and_then(|here| tenants::remove(here, name)),
+            (Call::Credentials(name), "PUT") => {
+                self.tenants().and_then(|here| tenants::rotate(here, name, &request.body))
+            }
+            (Call::Overrides, "GET") => Ok(overrides::list(&self.keeper)),
+            (Call::Overrides, "POST") => overrides::add(&self.keeper, request),
+            (Call::Override(id), "GET") => overrides::read(&self.keeper, id),
+            (Call::Override(id), "PATCH") => overrides::extend(&self.keeper, id, request),
+            (Call::Override(id), "DELETE") => overrides::remove(&self.keeper, id, request),
+            (Call::Counts, "GET") => {
+                farm::counts(&self.cores, self.tenants.as_ref().map(|(tenants, _)| tenants))
+            }
+            (Call::Farm, "GET") => farm::farm(&self.cores, &self.keeper),
+            (call, _) => Err(Reply::error(405, "no such method here").with("Allow", call.methods())),
+        };
+        reply.unwrap_or_else(|refused| refused)
+    }
+
+    fn tenants(&self) -> Result<&(Arc<Tenants>, Arc<Setup>), Reply> {
+        self.tenants.as_ref().ok_or_else(|| Reply::error(404, "no front with tenants runs here"))
+    }
+}
+
+/// What a path names.
+#[derive(Clone, Copy)]
+enum Call<'a> {
+    Tenants,
+    Tenant(&'a str),
+    Credentials(&'a str),
+    Overrides,
+    Override(&'a str),
+    Counts,
+    Farm,
+}
+
+impl<'a> Call<'a> {
+    fn of(path: &[&'a str]) -> Option<Call<'a>> {
+        match path {
+            ["v1", "tenants"] => Some(Call::Tenants),
+            ["v1", "tenants", name] => Some(Call::Tenant(name)),
+            ["v1", "tenants", name, "credentials"] => Some(Call::Credentials(name)),
+            ["v1", "overrides"] => Some(Call::Overrides),
+            ["v1", "overrides", id] => Some(Call::Override(id)),
+            ["v1", "counts"] => Some(Call::Counts),
+            ["v1", "farm"] => Some(Call::Farm),
+            _ => None,
+        }
+    }
+
+    fn methods(self) -> &'static str {
+        match self {
+            Call::Tenants | Call::Overrides => "GET, POST",
+            Call::Tenant(_) | Call::Override(_) => "GET, PATCH, DELETE",
+            Call::Credentials(_) => "PUT",
+            Call::Counts | Call::Farm => "GET",
+        }
+    }
+}
+
+fn digest(text: &str) -> [u8; 32] {
+    Sha256::digest(text.as_bytes()).into()
+}
+
+fn parse<'b, T: Deserialize<'b>>(body: &'b [u8]) -> Result<T, Reply> {
+    serde_json::from_slice(body).map_err(|error| {
+        // Where it is wrong, but not its words: they may be a secret.
+        let status = if error.is_data() { 422 } else { 400 };
+        Reply::error(
+            status,
+            format!("not the JSON wanted here, at line {} column {}", error.line(), error.column()),
+        )
+    })
+}
--- /dev/null
+++ b/balancer/src/admin/tenants.rs
@@ -0,0 +1,141 @@
+//! Tenants of the NATS front, over the administration API.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use beaconflow_settings::Setup;
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use super::http::Reply;
+use super::parse;
+use crate::front::nats::tenants::{Identity, StoreError, Tenant, Tenants, hash, is_name};
+use crate::log::{self, Level};
+
+/// Bounds of a password.
+const PASSWORD: std::ops::RangeInclusive<usize> = 12..=256;
+
+/// The tenants, and the settings that name their classes.
+type Here = (Arc<Tenants>, Arc<Setup>);
+
+impl From<StoreError> for Reply {
+    fn from(error: StoreError) -> Reply {
+        match error {
+            StoreError::Away => Reply::error(503, "the store is away"),
+            StoreError::Exists => Reply::error(409, "there is such a tenant"),
+            StoreError::Missing => Reply::error(404, "there is no such tenant"),
+        }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Create {
+    name: String,
+    password: String,
+    class: String,
+    connections: usize,
+    upstream: Identity,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Change {
+    class: Option<String>,
+    connections: Option<usize>,
+    upstream: Option<Identity>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Credentials {
+    password: String,
+}
+
+/// All tenants.
+pub(super) fn list((tenants, _): &Here) -> Result<Reply, Reply> {
+    let open = tenants.open();
+    let all: Vec<Value> = tenants.list()?.iter().map(|tenant| shown(tenant, &open)).collect();
+    Ok(Reply::new(200, json!({ "tenants": all })))
+}
+
+/// One tenant.
+pub(super) fn read((tenants, _): &Here, name: &str) -> Result<Reply, Reply> {
+    Ok(Reply::new(200, shown(&*tenants.get(name)?, &tenants.open())))
+}
+
+/// Enters a tenant.
+pub(super) fn create((tenants, setup): &Here, body: &[u8]) -> Result<Reply, Reply> {
+    let asked: Create = parse(body)?;
+    if !is_name(&asked.name) {
+        return Err(Reply::error(422, "name: 1 to 64 letters, digits, '-' or '_'"));
+    }
+    check(setup, Some(&asked.class), Some(asked.connections), Some(&asked.upstream))?;
+    let secret = hashed(&asked.password)?;
+    let Create { name, class, connections, upstream, .. } = asked;
+    let made = tenants.create(Tenant { name, secret, class, connections, upstream })?;
+    log::line(Level::Info, "admin", format_args!("tenant {} created", made.name));
+    Ok(Reply::new(201, shown(&made, &BTreeMap::new())))
+}
+
+/// Changes what is given.
+pub(super) fn change((tenants, setup): &Here, name: &str, body: &[u8]) -> Result<Reply, Reply> {
+    let Change { class, connections, upstream } = parse(body)?;
+    check(setup, class.as_deref(), connections, upstream.as_ref())?;
+    let changed = tenants.change(name, |tenant| {
+        tenant.class = class.unwrap_or_else(|| tenant.class.clone());
+        tenant.connections = connections.unwrap_or(tenant.connections);
+        tenant.upstream = upstream.unwrap_or_else(|| tenant.upstream.clone());
+    })?;
+    log::line(Level::Info, "admin", format_args!("tenant {name} changed"));
+    Ok(Reply::new(200, shown(&changed, &tenants.open())))
+}
+
+/// Removes a tenant.
+pub(super) fn remove((tenants, _): &Here, name: &str) -> Result<Reply, Reply> {
+    tenants.remove(name)?;
+    log::line(Level::Info, "admin", format_args!("tenant {name} removed"));
+    Ok(Reply::new(204, Value::Null))
+}
+
+/// Gives a tenant another password.
+pub(super) fn rotate((tenants, _): &Here, name: &str, body: &[u8]) -> Result<Reply, Reply> {
+    let asked: Credentials = parse(body)?;
+    let secret = hashed(&asked.password)?;
+    tenants.change(name, |tenant| tenant.secret = secret)?;
+    log::line(Level::Info, "admin", format_args!("tenant {name}: credentials rotated"));
+    Ok(Reply::new(204, Value::Null))
+}
+
+fn check(
+    setup: &Setup,
+    class: Option<&str>,
+    connections: Option<usize>,
+    upstream: Option<&Identity>,
+) -> Result<(), Reply> {
+    if class.is_some_and(|class| setup.class(class).is_none()) {
+        return Err(Reply::error(422, "class: not in the settings"));
+    }
+    if connections == Some(0) {
+        return Err(Reply::error(422, "connections: at least 1"));
+    }
+    if upstream.is_some_and(|identity| identity.user.len() > 256 || identity.password.len() > 256) {
+        return Err(Reply::error(422, "upstream: 256 bytes at most"));
+    }
+    Ok(())
+}
+
+fn hashed(password: &str) -> Result<String, Reply> {
+    if !PASSWORD.contains(&password.len()) {
+        return Err(Reply::error(422, "password: 12 to 256 bytes"));
+    }
+    hash(password).map_err(|_| Reply::error(500, "the password could not be hashed"))
+}
+
+/// A tenant without its secrets.
+fn shown(tenant: &Tenant, open: &BTreeMap<String, usize>) -> Value {
+    json!({
+        "name": tenant.name, "class": tenant.class, "connections": tenant.connections,
+        "open": open.get(&tenant.name).copied().unwrap_or(0), "upstream": { "user": tenant.upstream.user },
+    })
+}
--- a/balancer/src/core/farm.rs
+++ b/balancer/src/core/farm.rs
@@ -1,11 +1,12 @@
 //! The farm as the core knows it: application servers by name and by the module's number.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
-use beaconflow::api::{Entry, Nanos, ServerId, State, ZoneId};
+use beaconflow::api::{Entry, Nanos, Pin, ServerId, State, ZoneId};
+use beaconflow_overrides::{Id, Judgement, Millis, Set, Standing, Strictness, judge};
 use beaconflow_settings::digest;
 
 use crate::farm::{Lifecycle, List, Listed};
@@ -17,48 +18,108 @@
     pub name: String,
     /// Where it is reached.
     pub address: SocketAddr,
-    leaving: Arc<AtomicBool>,
+    mark: Arc<Mark>,
+}
+
+/// Whether a server takes new work, and how many passes are writing their first byte to it just now.
+#[derive(Debug, Default)]
+pub struct Mark {
+    leaving: AtomicBool,
+    writing: AtomicUsize,
+}
+
+impl Mark {
+    /// Whether nobody is writing a first byte. Once it is so after the mark was set, nobody will.
+    pub fn is_quiet(&self) -> bool {
+        self.writing.load(Ordering::SeqCst) == 0
+    }
+}
+
+/// The leave to write a first byte, for as long as it lives.
+pub struct Leave<'a>(&'a Mark);
+
+impl Drop for Leave<'_> {
+    fn drop(&mut self) {
+        self.0.writing.fetch_sub(1, Ordering::SeqCst);
+    }
 }
 
 impl ApplicationServer {
     /// An application server that takes new work.
     pub fn new(name: String, address: SocketAddr) -> ApplicationServer {
-        ApplicationServer { name, address, leaving: Arc::default() }
+        ApplicationServer { name, address, mark: Arc::default() }
     }
 
-    /// Whether the farm has said that it drains or is gone. To be asked just before a pass's first byte.
-    pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Acquire)
+    /// The leave to write a pass's first byte now; none where the server drains, is gone or was taken out. It is
+    /// counted in before the mark is read. Guards against a first byte that is written after whoever set the mark
+    /// was told that there is none.
+    pub fn leave_to_write(&self) -> Option<Leave<'_>> {
+        self.mark.writing.fetch_add(1, Ordering::SeqCst);
+        let leave = Leave(&self.mark);
+        (!self.mark.leaving.load(Ordering::SeqCst)).then_some(leave)
     }
 }
 
 struct Known {
     server: Arc<ApplicationServer>,
-    entry: Entry,
+    /// As it is listed.
+    listed: Entry,
+    /// As the module was told, with the overrides.
+    told: Entry,
+    zone: String,
     /// When slow messages there were last told.
     told_slow_at: Option<Nanos>,
 }
 
-/// All application servers that were ever listed.
-#[derive(Default)]
+/// All application servers that were ever listed, and the overrides.
 pub(super) struct Farm {
     known: Vec<Known>,
     numbers: BTreeMap<String, ServerId>,
+    pub(super) overrides: Set,
+    /// Servers that overrides make another than listed.
+    changed: BTreeSet<ServerId>,
+}
+
+/// A server as the farm shows it to people.
+#[derive(Clone, Debug)]
+pub struct ServerLook {
+    /// Its name.
+    pub name: String,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Its zone, by name.
+    pub zone: String,
+    /// Whether it takes new work, as listed and as the module was told.
+    pub state: (State, State),
+    /// Its weight, as listed and as the module was told.
+    pub weight: (f64, f64),
+    /// Connections that stand there.
+    pub standing: usize,
 }
 
 impl Farm {
+    /// A farm without servers.
+    pub(super) fn new(overrides: Set) -> Farm {
+        Farm { known: Vec::new(), numbers: BTreeMap::new(), overrides, changed: BTreeSet::new() }
+    }
+
     /// Takes a list in; gives its entries for the module. One left out of a whole list is gone.
-    pub(super) fn learn(&mut self, list: List, zone: impl Fn(&str) -> Option<u32>) -> Vec<Entry> {
+    pub(super) fn learn(
+        &mut self,
+        list: List,
+        now: Millis,
+        zone: impl Fn(&str) -> Option<u32>,
+    ) -> Vec<Entry> {
         if list.reset {
             for known in &mut self.known {
-                known.server.leaving.store(true, Ordering::Release);
-                known.entry.state = State::Gone;
+                known.server.mark.leaving.store(true, Ordering::SeqCst);
+                (known.listed.state, known.told.state) = (State::Gone, State::Gone);
             }
         }
-        list.instances.into_iter().filter_map(|listed| self.enter(listed, &zone)).collect()
+        list.instances.into_iter().filter_map(|listed| self.enter(listed, now, &zone)).collect()
     }
 
-    fn enter(&mut self, listed: Listed, zone: &impl Fn(&str) -> Option<u32>) -> Option<Entry> {
+    fn enter(&mut self, listed: Listed, now: Millis, zone: &impl Fn(&str) -> Option<u32>) -> Option<Entry> {
         let number = self.numbers.get(&listed.instance_id).copied();
         let before = number.and_then(|number| self.known.get(number.0 as usize));
         let address = listed.host_port.or_else(|| before.map(|known| known.server.address))?;
@@ -74,13 +135,20 @@
             zone: ZoneId(zone(&listed.zone).unwrap_or(u32::MAX)),
             cell: listed.cell,
             weight: listed.weight,
+            rises_to: None,
             started_at: listed.started_at_ms.saturating_mul(1_000_000),
         };
+        let standing = self.overrides.server(&listed.instance_id, now);
+        if standing != Standing::AS_LISTED {
+            self.changed.insert(number);
+        }
+        let told = under(&entry, standing);
         // Passes on their way keep the mark, so that they see what the farm says now.
-        let leaving = before.map(|known| Arc::clone(&known.server.leaving)).unwrap_or_default();
-        leaving.store(entry.state != State::Ready, Ordering::Release);
-        let server = Arc::new(ApplicationServer { name: listed.instance_id.clone(), address, leaving });
-        let known = Known { server, entry: entry.clone(), told_slow_at: None };
+        let mark = before.map(|known| Arc::clone(&known.server.mark)).unwrap_or_default();
+        mark.leaving.store(told.state != State::Ready, Ordering::SeqCst);
+        let server = Arc::new(ApplicationServer { name: listed.instance_id.clone(), address, mark });
+        let known =
+            Known { server, listed: entry, told: told.clone(), zone: listed.zone, told_slow_at: None };
         match self.known.get_mut(number.0 as usize) {
             Some(old) => *old = known,
             None => {
@@ -88,7 +156,65 @@
                 self.known.push(known);
             }
         }
-        Some(entry)
+        Some(told)
+    }
+
+    /// Looks at the overrides anew; gives the entries that are other than the module was told.
+    pub(super) fn reconsider(&mut self, now: Millis) -> Vec<Entry> {
+        let named = self.overrides.servers().filter_map(|name| self.numbers.get(name).copied());
+        let servers: BTreeSet<ServerId> = named.chain(self.changed.iter().copied()).collect();
+        let mut news = Vec::new();
+        for id in servers {
+            let known = &mut self.known[id.0 as usize];
+            let standing = self.overrides.server(&known.server.name, now);
+            if standing == Standing::AS_LISTED {
+                self.changed.remove(&id);
+            } else {
+                self.changed.insert(id);
+            }
+            let told = under(&known.listed, standing);
+            if told != known.told {
+                known.server.mark.leaving.store(told.state != State::Ready, Ordering::SeqCst);
+                known.told = told.clone();
+                news.push(told);
+            }
+        }
+        news
+    }
+
+    /// Where an arrival is pinned to, by the hashes of its group and tenant.
+    pub(super) fn pin(&self, group: Option<u64>, tenant: Option<u64>, now: Millis) -> Option<Pin> {
+        if !self.overrides.has_pins() {
+            return None;
+        }
+        let pin = self.overrides.pin(group, tenant, now)?;
+        let server = self.numbers.get(pin.server).copied();
+        Some(Pin { server, strict: pin.strictness == Strictness::Strict })
+    }
+
+    /// The servers whose standing connections an operator moves, and the rate of each.
+    pub(super) fn moving(&self, now: Millis) -> BTreeMap<ServerId, (Id, f64)> {
+        let rate = |id: &ServerId| {
+            let name = &self.known.get(id.0 as usize)?.server.name;
+            Some((*id, self.overrides.moves(name, now)?))
+        };
+        self.changed.iter().filter_map(rate).collect()
+    }
+
+    /// Where the overrides leave no ready server.
+    pub(super) fn judge(&self, now: Millis) -> Judgement {
+        if self.changed.is_empty() {
+            return Judgement::default();
+        }
+        let ready = self.known.iter().filter(|known| known.listed.state == State::Ready);
+        judge(ready.map(|known| (known.server.name.as_str(), known.zone.as_str())), &self.overrides, now)
+    }
+
+    /// Marks of the servers that take nothing new by an operator's word.
+    pub(super) fn marks_of_out(&self) -> Vec<Arc<Mark>> {
+        let known = self.changed.iter().filter_map(|id| self.known.get(id.0 as usize));
+        let out = known.filter(|known| known.told.state == State::Out);
+        out.map(|known| Arc::clone(&known.server.mark)).collect()
     }
 
     pub(super) fn get(&self, number: ServerId) -> Option<Arc<ApplicationServer>> {
@@ -102,8 +228,8 @@
 
     /// The present entries of all that are not gone.
     pub(super) fn entries(&self) -> Vec<Entry> {
-        let present = self.known.iter().filter(|known| known.entry.state != State::Gone);
-        present.map(|known| known.entry.clone()).collect()
+        let present = self.known.iter().filter(|known| known.told.state != State::Gone);
+        present.map(|known| known.told.clone()).collect()
     }
 
     /// Whether the module wants to hear how long a message took: once a period while messages are slow, and
@@ -125,12 +251,29 @@
         }
     }
 
-    pub(super) fn look(&self, standing: &BTreeMap<ServerId, usize>) -> Vec<(String, String, bool, usize)> {
-        let row = |known: &Known| {
-            let server = &known.server;
-            let held = standing.get(&known.entry.server).copied().unwrap_or(0);
-            (server.name.clone(), server.address.to_string(), server.is_leaving(), held)
+    pub(super) fn look(&self, standing: &BTreeMap<ServerId, usize>) -> Vec<ServerLook> {
+        let row = |known: &Known| ServerLook {
+            name: known.server.name.clone(),
+            address: known.server.address,
+            zone: known.zone.clone(),
+            state: (known.listed.state, known.told.state),
+            weight: (known.listed.weight, known.told.weight),
+            standing: standing.get(&known.listed.server).copied().unwrap_or(0),
         };
-        self.known.iter().filter(|known| known.entry.state != State::Gone).map(row).collect()
+        self.known.iter().filter(|known| known.listed.state != State::Gone).map(row).collect()
+    }
+}
+
+/// A listed server under the overrides. A server listed without a weight counts as one of weight 1.
+fn under(listed: &Entry, standing: Standing) -> Entry {
+    let mut told = listed.clone();
+    if standing.out && told.state == State::Ready {
+        told.state = State::Out;
+    }
+    if !standing.out && standing.factor != 1.0 {
+        let weight = if told.weight.is_finite() && told.weight > 0.0 { told.weight } else { 1.0 };
+        told.weight = weight * standing.factor;
+        told.rises_to = (standing.factor < standing.to).then_some(weight * standing.to);
     }
+    told
 }
--- a/balancer/src/core/ledger.rs
+++ b/balancer/src/core/ledger.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::sync::Arc;
 
-use beaconflow::api::{Arrival, ClassId, ClientKey, GroupId, Nanos, Outcome, RequestId, ServerId};
+use beaconflow::api::{Arrival, ClassId, ClientKey, GroupId, Nanos, Outcome, Pin, RequestId, ServerId};
 
 use super::{Carrier, Opening, Order};
 use crate::clock::nanos;
@@ -29,6 +29,10 @@
     place: Place,
     /// Passes so far, as the module counts them.
     passes: u32,
+    /// Its client has been told to move, or is about to be.
+    moving: bool,
+    /// Where an operator wants it, as the module was last told.
+    pin: Option<Pin>,
 }
 
 /// What ended.
@@ -53,6 +57,8 @@
     pub left: u64,
     /// Clients ordered to move.
     pub moved: u64,
+    /// Transactions opened under an operator's pin.
+    pub pinned: u64,
     /// Proxy passes made.
     pub passes: u64,
     /// How proxy passes and connections ended, in the order of [`Outcome`].
@@ -73,7 +79,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "opened={} served={} unavailable={}", self.opened, self.served, self.unavailable)?;
         write!(f, " failed={} left={} moved={}", self.failed, self.left, self.moved)?;
-        write!(f, " passes={}", self.passes)?;
+        write!(f, " pinned={} passes={}", self.pinned, self.passes)?;
         self.ends().filter(|(_, count)| *count > 0).try_for_each(|(name, count)| write!(f, " {name}={count}"))
     }
 }
@@ -87,10 +93,18 @@
 
 impl Ledger {
     /// Books a transaction; gives what the module is told of it.
-    pub(super) fn open(&mut self, id: u64, opening: Opening, orders: Arc<dyn Carrier>) -> Arrival {
+    pub(super) fn open(
+        &mut self,
+        id: u64,
+        opening: Opening,
+        orders: Arc<dyn Carrier>,
+        pin: Option<Pin>,
+    ) -> Arrival {
         self.counts.opened += 1;
+        self.counts.pinned += u64::from(pin.is_some());
         let give_up_at = opening.taken_at.saturating_add(nanos(opening.patience));
-        let transaction = Transaction { opening, give_up_at, orders, place: Place::Waiting, passes: 0 };
+        let transaction =
+            Transaction { opening, give_up_at, orders, place: Place::Waiting, passes: 0, moving: false, pin };
         let arrival = transaction.arrival(id);
         self.open.insert(id, transaction);
         arrival
@@ -106,8 +120,11 @@
 
     /// Sends an order. A transaction that is gone has told of its end or is about to.
     pub(super) fn order(&mut self, id: u64, order: Order) {
-        if let Some(transaction) = self.open.get(&id) {
-            self.counts.moved += u64::from(matches!(order, Order::Move));
+        if let Some(transaction) = self.open.get_mut(&id) {
+            if matches!(order, Order::Move) {
+                self.counts.moved += 1;
+                transaction.moving = true;
+            }
             transaction.orders.carry(id, order);
         }
     }
@@ -175,6 +192,26 @@
         self.places().into_iter().filter(|(_, place)| stands(place)).map(|(id, _)| id).collect()
     }
 
+    /// The connections that stand at a server and have not been told to move, the longest open first.
+    pub(super) fn movable_at(&self, at: ServerId) -> impl Iterator<Item = u64> {
+        let stays =
+            move |transaction: &Transaction| transaction.place == Place::Standing(at) && !transaction.moving;
+        self.open.iter().filter(move |(_, transaction)| stays(transaction)).map(|(id, _)| *id)
+    }
+
+    /// Gives every transaction that does not stand the pin that it has now; names those for which it is another one.
+    pub(super) fn repin(&mut self, pin: impl Fn(&Opening) -> Option<Pin>) -> Vec<(u64, Option<Pin>)> {
+        let mut changed = Vec::new();
+        for (id, transaction) in &mut self.open {
+            let now = pin(&transaction.opening);
+            if matches!(transaction.place, Place::Waiting | Place::Out(_)) && transaction.pin != now {
+                transaction.pin = now;
+                changed.push((*id, now));
+            }
+        }
+        changed
+    }
+
     pub(super) fn standing_at(&self) -> BTreeMap<ServerId, usize> {
         let mut counts = BTreeMap::new();
         for transaction in self.open.values() {
@@ -195,6 +232,7 @@
             key: self.opening.key.map(ClientKey),
             group: self.opening.group.map(GroupId),
             load: self.opening.load,
+            pin: self.pin,
         }
     }
 }
--- a/balancer/src/core/mod.rs
+++ b/balancer/src/core/mod.rs
@@ -6,10 +6,11 @@
 mod admit;
 mod farm;
 mod ledger;
+mod overrides;
 mod route;
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BTreeMap, BinaryHeap};
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -17,14 +18,18 @@
 use std::time::{Duration, Instant};
 
 use beaconflow::Balancer;
-use beaconflow::api::{self, Action, Nanos, Note, Outcome, RequestId, Settings, SettingsError, TimerId};
+use beaconflow::api::{
+    self, Action, Nanos, Note, Outcome, RequestId, ServerId, Settings, SettingsError, TimerId,
+};
+use beaconflow_overrides::{Id, Judgement, Pace, Set};
 use beaconflow_settings::Setup;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
 
-pub use farm::ApplicationServer;
 use farm::Farm;
+pub use farm::{ApplicationServer, Mark, ServerLook};
 pub use ledger::Counts;
 use ledger::{Ledger, Place};
+pub use overrides::{InEffect, OverrideChange};
 
 use crate::clock::{Clock, nanos};
 use crate::farm::{List, News};
@@ -58,6 +63,8 @@
     pub key: Option<u64>,
     /// A hash of the group it shares work with.
     pub group: Option<u64>,
+    /// A hash of its tenant's name.
+    pub tenant: Option<u64>,
     /// Expected load, in microseconds of work a second.
     pub load: Option<f64>,
     /// When it came.
@@ -89,6 +96,8 @@
     Terminate,
     /// Somebody wants to see the counts and the farm.
     Look(Sender<Look>),
+    /// Overrides have changed; the answer comes once the module has been told.
+    Overrides(Vec<OverrideChange>, Option<Sender<InEffect>>),
 }
 
 /// Takes orders to whoever serves a transaction, and does not block.
@@ -124,8 +133,10 @@
     pub open: usize,
     /// Standing connections among them.
     pub standing: usize,
-    /// Each application server: name, address, whether it is leaving, standing connections.
-    pub farm: Vec<(String, String, bool, usize)>,
+    /// Each application server that is listed.
+    pub farm: Vec<ServerLook>,
+    /// Where the overrides leave no ready server.
+    pub judgement: Judgement,
 }
 
 /// The way to the core.
@@ -211,6 +222,8 @@
     pub known: List,
     /// Asks for the farm; [`Event::Farm`] follows.
     pub watch: Sender<()>,
+    /// The overrides that were restored.
+    pub overrides: Set,
 }
 
 /// Why a core does not start.
@@ -258,7 +271,7 @@
         seed: start.seed,
         clock: start.clock,
         balancer,
-        farm: Farm::default(),
+        farm: Farm::new(start.overrides),
         ledger: Ledger::default(),
         timers: BinaryHeap::new(),
         set: 0,
@@ -266,6 +279,9 @@
         slow,
         leaving_since: None,
         actions: Vec::new(),
+        moves: BTreeMap::new(),
+        judgement: Judgement::default(),
+        overrides_due: None,
     };
     core.take_list(start.known, true);
     let run = move || core.run(&inbox);
@@ -285,6 +301,10 @@
     Move(u64),
     Leaving,
     Counts,
+    /// An override begins, ends or goes on rising.
+    Overrides,
+    /// Connections are moved off servers that were taken out.
+    Moves,
 }
 
 struct Core {
@@ -304,6 +324,12 @@
     slow: Nanos,
     leaving_since: Option<Nanos>,
     actions: Vec<Action>,
+    /// The servers that an operator has emptied, by the override that says so.
+    moves: BTreeMap<ServerId, (Id, Pace)>,
+    /// Where the overrides leave no ready server, as last told.
+    judgement: Judgement,
+    /// When the overrides are looked at anew, if it has been set.
+    overrides_due: Option<Nanos>,
 }
 
 impl Core {
@@ -349,6 +375,7 @@
                 self.decide(failed);
             }
             Event::Terminate => self.leave(),
+            Event::Overrides(changes, answer) => self.take_overrides(changes, answer),
             Event::Look(answer) => {
                 // Nobody waits any more if this fails.
                 let _ = answer.try_send(self.look());
@@ -358,7 +385,7 @@
 
     fn take_list(&mut self, list: List, known: bool) {
         let (count, reset, generation) = (list.instances.len(), list.reset, list.generation);
-        let entries = self.farm.learn(list, |zone| self.zones.zone(zone));
+        let entries = self.farm.learn(list, self.now_ms(), |zone| self.zones.zone(zone));
         let kind = match (known, reset) {
             (true, _) => api::ListKind::Cached,
             (false, true) => api::ListKind::Full,
@@ -370,6 +397,7 @@
             format_args!("farm generation={generation} kind={kind:?} entries={count}"),
         );
         self.decide(api::Event::List { kind, entries });
+        self.follow_overrides();
     }
 
     // ---- book ----
@@ -426,6 +454,7 @@
             open: self.ledger.len(),
             standing: standing.values().sum(),
             farm: self.farm.look(&standing),
+            judgement: self.judgement.clone(),
         }
     }
 
@@ -443,6 +472,8 @@
             Due::Held(id) => self.reopen(id),
             Due::Move(id) => self.ledger.order(id, Order::Move),
             Due::Leaving => self.go_on_leaving(),
+            Due::Overrides => self.overrides_are_due(),
+            Due::Moves => self.go_on_moving(),
             Due::Counts => {
                 let look = self.look();
                 let line = format_args!("open={} standing={} {}", look.open, look.standing, look.counts);
--- a/balancer/src/front/mod.rs
+++ b/balancer/src/front/mod.rs
@@ -8,7 +8,7 @@
 
 use crate::core::Opening;
 use crate::net;
-use crate::stages::send::{Asking, PassError};
+use crate::pass::{Asking, PassError};
 
 /// A wire.
 pub trait Front: Send + Sync + 'static {
--- a/balancer/src/front/nats/framing.rs
+++ b/balancer/src/front/nats/framing.rs
@@ -2,7 +2,7 @@
 
 use crate::front::{Followed, FrameFault, Framer, Seen};
 use crate::net::trimmed;
-use crate::stages::send::Answer;
+use crate::pass::Answer;
 
 /// Longest control line of a client, and of a server but for its INFO.
 pub const LONGEST_LINE: usize = 4096;
--- a/balancer/src/front/nats/mod.rs
+++ b/balancer/src/front/nats/mod.rs
@@ -13,10 +13,9 @@
 //! | an end after CONNECT is written | reset |
 //! | silence after CONNECT | time-out, repeated as the class allows |
 
-pub mod admin;
 pub mod framing;
-pub mod operator;
 pub mod tenants;
+pub mod wire;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -26,12 +25,12 @@
 use serde_json::{Map, Value, json};
 
 use self::framing::{ClientFramer, LONGEST_LINE, ServerFramer};
-use self::operator::Wire;
 use self::tenants::{Admitted, Tenants};
+use self::wire::Wire;
 use super::{First, Framer, Front, NoOpening, Probe, Refusal, Word};
 use crate::core::Opening;
 use crate::net::{ReadError, trimmed};
-use crate::stages::send::{Answer, Asking, PassError};
+use crate::pass::{Answer, Asking, PassError};
 
 /// The front of the NATS client protocol.
 pub struct Nats {
@@ -117,6 +116,7 @@
             class,
             key: Some(key),
             group: None,
+            tenant: Some(digest(&tenant.name)),
             load: None,
             taken_at: now,
             patience: self.setup.patience(class),
@@ -195,8 +195,7 @@
         if info["ldm"] == true {
             return Err(PassError::Answered(Answer::Unavailable));
         }
-        asking.recheck()?;
-        asking.write(&[&greeting.connect, b"PING\r\n"]).map_err(PassError::unwritten)?;
+        asking.head(&[&greeting.connect, b"PING\r\n"])?;
         loop {
             let line = asking.line(PassError::Written)?;
             let (verb, rest) = framing::verb(trimmed(&line));
--- a/balancer/src/front/platform.rs
+++ b/balancer/src/front/platform.rs
@@ -10,7 +10,7 @@
 use super::{First, Followed, FrameFault, Framer, Front, NoOpening, Refusal, Seen, Word};
 use crate::core::Opening;
 use crate::net::trimmed;
-use crate::stages::send::{Answer, Asking, PassError};
+use crate::pass::{Answer, Asking, PassError};
 
 /// Longest line, with its end.
 const LONGEST_LINE: usize = 4096;
@@ -83,7 +83,7 @@
         }
         let mut names = HashSet::new();
         let (mut class, mut wait) = (None, None);
-        let (mut group, mut load, mut held_by) = (None, None, None);
+        let (mut group, mut tenant, mut load, mut held_by) = (None, None, None, None);
         for pair in list.split(',') {
             let (name, value) = pair.split_once('=').ok_or("a field without a value")?;
             if name.is_empty() || value.is_empty() {
@@ -95,6 +95,7 @@
             match name {
                 "c" => class = Some(self.setup.class(value).ok_or("no such class")?),
                 "t" if !self.setup.knows_tenant(value) => return Err("no such tenant"),
+                "t" => tenant = Some(digest(value)),
                 "d" => {
                     let digits = value.bytes().all(|byte| byte.is_ascii_digit());
                     let millis = value.parse().ok().filter(|_| digits).map(Duration::from_millis);
@@ -120,7 +121,7 @@
         // Last, so that nothing refused takes an id.
         let id = OpenId::take(id, &self.open).ok_or("the id of an open request")?;
         let opening =
-            Opening { class, key: Some(digest(key)), group, load, taken_at: now, patience, held_by };
+            Opening { class, key: Some(digest(key)), group, tenant, load, taken_at: now, patience, held_by };
         Ok((opening, Greeting { line: line.to_vec(), wait, _id: id }))
     }
 }
@@ -170,10 +171,9 @@
     }
 
     fn pass(&self, asking: &mut Asking<'_>, greeting: &Greeting) -> Result<Vec<u8>, PassError> {
-        asking.recheck()?;
         let wait = asking.until().saturating_duration_since(Instant::now()).as_millis().to_string();
         let (before, after) = (&greeting.line[..greeting.wait.start], &greeting.line[greeting.wait.end..]);
-        asking.write(&[before, wait.as_bytes(), after, b"\r\n"]).map_err(PassError::unwritten)?;
+        asking.head(&[before, wait.as_bytes(), after, b"\r\n"])?;
         let line = asking.line(PassError::Written)?;
         match trimmed(&line) {
             b"BUSY" => Err(PassError::Answered(Answer::Unavailable)),
--- a/balancer/src/lib.rs
+++ b/balancer/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod admin;
 pub mod clock;
 pub mod config;
 pub mod core;
@@ -12,6 +13,10 @@
 pub mod front;
 pub mod log;
 pub mod net;
+pub mod operator;
+pub mod overrides;
+pub mod pass;
 pub mod poller;
 pub mod reload;
+pub mod serve;
 pub mod stages;
--- a/balancer/src/log.rs
+++ b/balancer/src/log.rs
@@ -5,6 +5,16 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// The form of the log's lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Form {
+    /// For people.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
 /// How much a line matters to the people on call.
 #[derive(Clone, Copy)]
 pub enum Level {
@@ -16,6 +26,9 @@
     Error,
 }
 
+/// Begins the log in a form.
+pub fn start(_form: Form) {}
+
 /// Writes one line. A closed standard error is no reason to stop serving.
 pub fn line(level: Level, part: &str, message: Arguments<'_>) {
     let name = match level {
--- a/balancer/src/reload.rs
+++ b/balancer/src/reload.rs
@@ -10,8 +10,8 @@
 use crate::config::Config;
 use crate::core::{Event, Handle};
 use crate::farm::{News, Target};
-use crate::front::nats::operator::{FarmSource, Operator};
 use crate::log::{self, Level};
+use crate::operator::{FarmSource, Nats, Operator};
 
 /// How many descriptors a front's connections may hold; a reload may change it.
 pub type Sockets = Arc<AtomicUsize>;
@@ -27,18 +27,20 @@
         /// The descriptors.
         sockets: Sockets,
     },
-    /// The NATS front.
-    Nats {
-        /// Where the operator's file is.
+    /// The operator's file, and the NATS front where it sets one up.
+    Operator {
+        /// Where the file is.
         path: PathBuf,
-        /// The file, as last read.
-        file: Box<Operator>,
+        /// What it said at the start; all but the NATS front takes a restart.
+        others: Box<Operator>,
+        /// The NATS front, as last read.
+        file: Option<Box<Nats>>,
         /// The watch, where discovery is asked.
         target: Option<Target>,
-        /// The descriptors.
+        /// The front's descriptors.
         sockets: Sockets,
         /// Its core, which is told of a farm that stands in the file.
-        core: Handle,
+        core: Option<Handle>,
         /// Reloads of that farm so far.
         farms: u64,
     },
@@ -49,7 +51,7 @@
     pub fn reload(&mut self) {
         let changed = match self {
             Reload::Platform { .. } => self.platform(),
-            Reload::Nats { .. } => self.nats(),
+            Reload::Operator { .. } => self.operator(),
         };
         match changed {
             Ok(Changes { taken, restart }) if taken.is_empty() && restart.is_empty() => {
@@ -88,18 +90,27 @@
         Ok(changes)
     }
 
-    fn nats(&mut self) -> Result<Changes, String> {
-        let Reload::Nats { path, file, target, sockets, core, farms } = self else {
+    fn operator(&mut self) -> Result<Changes, String> {
+        let Reload::Operator { path, others, file, target, sockets, core, farms } = self else {
             return Ok(Changes::default());
         };
-        let new = Operator::read(path)?;
+        let read = Operator::read(path).map_err(|faults| faults.to_string())?;
         let mut changes = Changes::default();
+        changes.fixed("the NATS front", file.is_some() == read.nats.is_some());
+        changes.fixed("admin", others.admin == read.admin);
+        changes.fixed("overrides", others.overrides == read.overrides);
+        changes.fixed("log", others.log == read.log);
+        let (Some(new), Some(file)) = (read.nats, file) else {
+            return Ok(changes);
+        };
         match (&new.farm, &file.farm, target) {
             (new, old, _) if new == old => {}
             (FarmSource::Discovery(discovery), _, Some(target)) => changes.discovery(target, *discovery),
             (FarmSource::Servers(_), FarmSource::Servers(_), _) => {
                 *farms += 1;
-                core.tell(Event::Farm(News::List(new.farm.list(1 + *farms))));
+                if let Some(core) = core {
+                    core.tell(Event::Farm(News::List(new.farm.list(1 + *farms))));
+                }
                 changes.taken.push("farm".into());
             }
             _ => changes.restart.push("farm"),
@@ -109,7 +120,6 @@
         changes.fixed("listen", file.listen == new.listen);
         changes.fixed("wire", file.wire == new.wire);
         changes.fixed("store", file.store == new.store);
-        changes.fixed("admin", file.admin == new.admin);
         changes.fixed("settings", file.settings == new.settings);
         if !changes.restart.contains(&"farm") {
             file.farm = new.farm;
--- /dev/null
+++ b/balancer/src/serve.rs
@@ -0,0 +1,198 @@
+//! The program as a whole: which fronts run, with what cores, and until when.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::thread::{Builder, JoinHandle};
+use std::time::{Duration, Instant};
+
+use beaconflow_overrides::Set;
+use beaconflow_settings::Setup;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGXFSZ};
+use signal_hook::iterator::Signals;
+
+use crate::admin::Admin;
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::core::{self, Event, Handle, Start};
+use crate::farm::{Target, Watcher};
+use crate::front::nats::Nats as Front;
+use crate::front::nats::tenants::Tenants;
+use crate::front::platform::Platform;
+use crate::log::{self, Level};
+use crate::net;
+use crate::operator::{self, FarmSource, Nats, Operator};
+use crate::overrides::{self, Keeper, NamedCore};
+use crate::reload::{Reload, Sockets};
+use crate::stages;
+
+/// Connections that still linger when the core has left are waited for so long.
+const LAST_WORDS: Duration = Duration::from_millis(200);
+
+/// A front that serves: the way to its core, and the thread to wait for.
+struct Serving {
+    front: &'static str,
+    core: Handle,
+    thread: JoinHandle<()>,
+}
+
+/// What the rest of the program shares with the NATS front.
+struct NatsParts {
+    tenants: Arc<Tenants>,
+    setup: Arc<Setup>,
+    target: Option<Target>,
+    sockets: Sockets,
+}
+
+/// Serves until the program is told to leave. Without an operator's file it is the platform's balancer.
+pub fn serve(operator: Option<(PathBuf, Operator)>) -> Result<(), String> {
+    let clock = Clock::start();
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|error| format!("signals: {error}"))?;
+    // Guards against a limit on the size of files that would end the program: the write fails instead.
+    signal_hook::flag::register(SIGXFSZ, Arc::default()).map_err(|error| format!("signals: {error}"))?;
+    let on_platform = std::env::var_os("LB_CONFIG").is_some();
+    let sets_a_front = operator.as_ref().is_some_and(|(_, operator)| operator.nats.is_some());
+    if operator.is_some() && !sets_a_front && !on_platform {
+        return Err("no front: the operator's file sets none up, and LB_CONFIG is not set".into());
+    }
+    // Overrides come before the cores: none of them places anything before it knows them.
+    let restored = operator.as_ref().filter(|(_, operator)| operator.admin.is_some());
+    let restored = restored.map(|(_, operator)| overrides::restore(&operator.overrides, clock));
+    let set = restored.as_ref().map(|restored| restored.set.clone()).unwrap_or_default();
+    let (mut serving, mut reloads) = (Vec::new(), Vec::new());
+    // The platform starts a balancer without a word; an operator's file may stand alone.
+    if operator.is_none() || on_platform {
+        let (front, reload) = start_platform(Config::read()?, clock, &set)?;
+        serving.push(front);
+        reloads.push(reload);
+    }
+    if let Some((path, operator)) = operator {
+        let mut nats = None;
+        if let Some(file) = &operator.nats {
+            let (front, parts) = start_nats(file, clock, &set)?;
+            serving.push(front);
+            nats = Some(parts);
+        }
+        let cores: Vec<NamedCore> = serving.iter().map(|front| (front.front, front.core.clone())).collect();
+        if let (Some(admin), Some(restored)) = (&operator.admin, restored) {
+            let keeper = Arc::new(Keeper::new(
+                restored,
+                cores.clone(),
+                clock,
+                operator.overrides.limits,
+                Box::new(overrides::wall),
+            ));
+            start_admin(admin, &keeper, &cores, nats.as_ref())?;
+            spawn("overrides", move || keeper.run())?;
+        }
+        let core = cores.iter().find(|(front, _)| *front == "nats").map(|(_, core)| core.clone());
+        let (target, sockets) = nats.map(|nats| (nats.target, nats.sockets)).unwrap_or_default();
+        let file = operator.nats.clone().map(Box::new);
+        let others = Box::new(operator);
+        reloads.push(Reload::Operator { path, others, file, target, sockets, core, farms: 0 });
+    }
+    let told: Vec<Handle> = serving.iter().map(|front| front.core.clone()).collect();
+    spawn("signals", move || {
+        let mut leaving = false;
+        for signal in &mut signals {
+            if signal != SIGHUP {
+                leaving = true;
+                told.iter().for_each(|core| core.tell(Event::Terminate));
+            } else if leaving {
+                log::line(Level::Info, "reload", format_args!("left out: the program is leaving"));
+            } else {
+                reloads.iter_mut().for_each(Reload::reload);
+            }
+        }
+    })?;
+    for Serving { core, thread, .. } in serving {
+        thread.join().map_err(|_| "the core panicked".to_owned())?;
+        let until = Instant::now() + LAST_WORDS;
+        while core.connections() > 0 && Instant::now() < until {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        log::line(Level::Info, "main", format_args!("left with {} connections open", core.connections()));
+    }
+    Ok(())
+}
+
+fn start_platform(file: Config, clock: Clock, overrides: &Set) -> Result<(Serving, Reload), String> {
+    let config = file.clone().overruled()?;
+    let (watcher, watch) = Watcher::new(config.discovery, config.known.generation);
+    let target = watcher.target();
+    let seed = config.seed();
+    let setup = config.settings;
+    let front = Arc::new(Platform::new(Arc::new(setup.clone())));
+    let start =
+        Start { name: "core", setup, seed, clock, known: config.known, watch, overrides: overrides.clone() };
+    let (core, thread) = start_core(start, Some(watcher))?;
+    let sockets = Sockets::new(config.limits.sockets.into());
+    start_front(front, config.listen, Arc::clone(&sockets), &core)?;
+    log::line(Level::Info, "main", format_args!("{} serves on {}", config.name, config.listen));
+    let reload = Reload::Platform { file: Box::new(file), target, sockets };
+    Ok((Serving { front: "platform", core, thread }, reload))
+}
+
+fn start_nats(nats: &Nats, clock: Clock, overrides: &Set) -> Result<(Serving, NatsParts), String> {
+    let setup = Arc::new(nats.settings.clone());
+    let tenants = Arc::new(Tenants::new(&nats.store.url, Duration::from_millis(nats.store.fresh_ms))?);
+    let (watcher, watch) = match nats.farm {
+        FarmSource::Discovery(address) => {
+            let (watcher, watch) = Watcher::new(address, 0);
+            (Some(watcher), watch)
+        }
+        FarmSource::Servers(_) => (None, crossbeam_channel::unbounded().0),
+    };
+    let target = watcher.as_ref().map(Watcher::target);
+    let (seed, known, overrides) = (clock.now(), nats.farm.list(1), overrides.clone());
+    let start =
+        Start { name: "nats-core", setup: Setup::clone(&setup), seed, clock, known, watch, overrides };
+    let (core, thread) = start_core(start, watcher)?;
+    let front = Arc::new(Front::new(nats.name.clone(), Arc::clone(&setup), Arc::clone(&tenants), nats.wire));
+    let sockets = Sockets::new(nats.sockets.into());
+    start_front(front, nats.listen, Arc::clone(&sockets), &core)?;
+    log::line(Level::Info, "main", format_args!("nats on {}", nats.listen));
+    Ok((Serving { front: "nats", core, thread }, NatsParts { tenants, setup, target, sockets }))
+}
+
+/// Serves the administration API, and keeps the overrides.
+fn start_admin(
+    admin: &operator::Admin,
+    keeper: &Arc<Keeper>,
+    cores: &[NamedCore],
+    nats: Option<&NatsParts>,
+) -> Result<(), String> {
+    let listener =
+        net::listen(admin.listen).map_err(|error| format!("listen on {}: {error}", admin.listen))?;
+    let tenants = nats.map(|nats| (Arc::clone(&nats.tenants), Arc::clone(&nats.setup)));
+    let api = Arc::new(Admin::new(cores.to_vec(), Arc::clone(keeper), tenants, &admin.token));
+    spawn("admin", move || api.listen(&listener))?;
+    log::line(Level::Info, "main", format_args!("admin on {}", admin.listen));
+    Ok(())
+}
+
+fn start_core(start: Start, watcher: Option<Watcher>) -> Result<(Handle, JoinHandle<()>), String> {
+    let (core, thread) = core::start(start).map_err(|error| format!("settings: {error}"))?;
+    if let Some(watcher) = watcher {
+        let told = core.clone();
+        spawn("farm", move || watcher.run(|news| told.tell(Event::Farm(news))))?;
+    }
+    Ok((core, thread))
+}
+
+fn start_front<F: crate::front::Front>(
+    front: Arc<F>,
+    on: SocketAddr,
+    sockets: Sockets,
+    core: &Handle,
+) -> Result<(), String> {
+    let listener = net::listen(on).map_err(|error| format!("listen on {on}: {error}"))?;
+    let core = core.clone();
+    let desk = stages::transaction::serve(&front, &core).map_err(|error| format!("transactions: {error}"))?;
+    spawn("take-in", move || stages::take_in::listen(&front, &listener, (&core, &sockets), &desk))
+}
+
+fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> Result<(), String> {
+    let thread = Builder::new().name(name.to_owned()).spawn(run);
+    thread.map(drop).map_err(|error| format!("thread {name}: {error}"))
+}
--- a/balancer/src/stages/relay.rs
+++ b/balancer/src/stages/relay.rs
@@ -13,8 +13,8 @@
 use crate::core::{Event, Handle};
 use crate::front::{Followed, FrameFault, Framer, Front, Probe, Seen};
 use crate::net::{self, Outflow, ReadError};
+use crate::pass::{Client, End};
 use crate::poller::EventFlags;
-use crate::stages::send::End;
 
 /// A move waits for so long for the end of a message that has begun.
 const MOVE_PATIENCE: Duration = Duration::from_millis(900);
@@ -40,6 +40,25 @@
     drained: usize,
 }
 
+impl Client for Link {
+    fn stream(&self) -> &TcpStream {
+        &self.client
+    }
+
+    fn look(&mut self) -> Result<(), ReadError> {
+        let mut chunk = [0; CHUNK];
+        loop {
+            match (&self.client).read(&mut chunk) {
+                Ok(0) => return Err(ReadError::Ended),
+                Ok(count) if self.kept.len() + count > self.most_early => return Err(ReadError::TooLong),
+                Ok(count) => self.kept.extend_from_slice(&chunk[..count]),
+                Err(error) if net::is_wait(&error) => return Ok(()),
+                Err(error) => return Err(ReadError::Broken(error)),
+            }
+        }
+    }
+}
+
 struct Asked {
     at: Instant,
     /// Whether the balancer asked, and not the client.
@@ -59,25 +78,6 @@
         self.over
     }
 
-    /// The client's connection.
-    pub fn client(&self) -> &TcpStream {
-        &self.client
-    }
-
-    /// Looks at a client that waits: keeps what it sent early, and tells if it has left or sent more than is kept.
-    pub fn look(&mut self) -> Result<(), ReadError> {
-        let mut chunk = [0; CHUNK];
-        loop {
-            match (&self.client).read(&mut chunk) {
-                Ok(0) => return Err(ReadError::Ended),
-                Ok(count) if self.kept.len() + count > self.most_early => return Err(ReadError::TooLong),
-                Ok(count) => self.kept.extend_from_slice(&chunk[..count]),
-                Err(error) if net::is_wait(&error) => return Ok(()),
-                Err(error) => return Err(ReadError::Broken(error)),
-            }
-        }
-    }
-
     /// Says the last word, and ends the connection in order once it has been taken.
     pub fn answer(&mut self, words: &[u8]) {
         self.over = true;
--- a/balancer/src/stages/send.rs
+++ b/balancer/src/stages/send.rs
@@ -1,142 +1,14 @@
 //! Send: one proxy pass to one application server.
 
-use std::fmt;
-use std::io;
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use beaconflow::api::Outcome;
-
 use crate::core::ApplicationServer;
 use crate::front::Front;
-use crate::net::{self, Intake, PollFlags, ReadError};
+use crate::net;
+use crate::pass::{Asking, PassError};
 use crate::stages::relay::Link;
 
-/// Most bytes read ahead from a server that is being asked.
-const MOST_AHEAD: usize = 8 * 1024;
-
-/// How far a proxy pass had come when it ended. What became of its transaction follows from this alone.
-#[derive(Debug)]
-pub enum PassError {
-    /// Nothing was sent: the application server is leaving.
-    Withheld,
-    /// The client left, or did not wait for its answer.
-    ClientLeft(ReadError),
-    /// The connection did not come up.
-    NotConnected(io::Error),
-    /// It broke before the head's last byte was written.
-    HeadPartlyWritten(usize, io::Error),
-    /// The head was written, and no answer came.
-    Written(ReadError),
-    /// The application server answered, but not by serving.
-    Answered(Answer),
-    /// The connection stood.
-    Standing(End),
-}
-
-/// An application server's answer to a pass that does not stand.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Answer {
-    /// Turned away unseen.
-    Unavailable,
-    /// A draining server sends the client away.
-    SentAway,
-    /// Anything else.
-    Error,
-}
-
-/// How a standing connection ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
-    /// Its server said goodbye and ended it.
-    Served,
-    /// Its server sent the client away and ended it.
-    SentAway,
-    /// Its server ended it without a word.
-    ServerEnded,
-    /// Its server's side broke.
-    ServerBroke,
-    /// Its server is silent; the client was told to move.
-    ServerSilent,
-    /// Its server said that it is about to leave; the client was told to move.
-    ServerLeaving,
-    /// Its server broke the wire's rules.
-    ServerFault,
-    /// The client ended it.
-    ClientEnded,
-    /// The client's side broke.
-    ClientBroke,
-    /// The client broke the wire's rules.
-    ClientFault(&'static str),
-    /// The client was told to move.
-    Moved,
-    /// It was to be moved, but a message that had begun never ended.
-    Cut,
-}
-
-impl PassError {
-    /// A failed write of a head, by the number of bytes written.
-    pub fn unwritten((written, error): (usize, io::Error)) -> PassError {
-        PassError::HeadPartlyWritten(written, error)
-    }
-
-    /// A server that did not say what goes before the head: nothing was written, so nothing ran.
-    pub fn before_head(error: ReadError) -> PassError {
-        PassError::NotConnected(match error {
-            ReadError::Broken(error) => error,
-            ReadError::TimedOut => io::ErrorKind::TimedOut.into(),
-            ReadError::Ended | ReadError::TooLong => io::ErrorKind::InvalidData.into(),
-        })
-    }
-
-    /// What the decision module is told.
-    pub fn outcome(&self) -> Outcome {
-        match self {
-            PassError::Withheld => Outcome::NotSent,
-            PassError::ClientLeft(_) => Outcome::Cancelled,
-            PassError::NotConnected(_) | PassError::HeadPartlyWritten(..) => Outcome::ConnectFailed,
-            PassError::Written(ReadError::TimedOut) => Outcome::TimedOut,
-            PassError::Written(ReadError::TooLong) | PassError::Answered(Answer::Error) => Outcome::Error,
-            PassError::Written(ReadError::Ended | ReadError::Broken(_)) => Outcome::Reset,
-            PassError::Answered(Answer::Unavailable) => Outcome::Full,
-            PassError::Answered(Answer::SentAway) => Outcome::Cancelled,
-            PassError::Standing(end) => end.outcome(),
-        }
-    }
-}
-
-impl End {
-    fn outcome(self) -> Outcome {
-        match self {
-            End::Served => Outcome::Served,
-            End::ServerEnded | End::ServerBroke | End::ServerSilent | End::ServerFault => Outcome::Reset,
-            End::SentAway
-            | End::ServerLeaving
-            | End::ClientEnded
-            | End::ClientBroke
-            | End::ClientFault(_)
-            | End::Moved
-            | End::Cut => Outcome::Cancelled,
-        }
-    }
-}
-
-impl fmt::Display for PassError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            PassError::Withheld => write!(f, "withheld"),
-            PassError::ClientLeft(error) => write!(f, "client left: {error:?}"),
-            PassError::NotConnected(error) => write!(f, "not connected: {error}"),
-            PassError::HeadPartlyWritten(bytes, error) => {
-                write!(f, "head broken after {bytes} bytes: {error}")
-            }
-            PassError::Written(error) => write!(f, "written, then {error:?}"),
-            PassError::Answered(answer) => write!(f, "answered: {answer:?}"),
-            PassError::Standing(end) => write!(f, "stood, then {end:?}"),
-        }
-    }
-}
-
 /// A pass that stands.
 pub struct Passed {
     /// The application server's connection.
@@ -147,64 +19,6 @@
     pub ahead: Vec<u8>,
 }
 
-/// An application server that is being asked, while its client is looked after.
-pub struct Asking<'a> {
-    server: TcpStream,
-    to: &'a ApplicationServer,
-    link: &'a mut Link,
-    until: Instant,
-    intake: Intake,
-}
-
-impl Asking<'_> {
-    /// Until when this pass may take.
-    pub fn until(&self) -> Instant {
-        self.until
-    }
-
-    /// Whether the pass may still be sent; to be asked just before its first byte.
-    pub fn recheck(&mut self) -> Result<(), PassError> {
-        if self.to.is_leaving() {
-            return Err(PassError::Withheld);
-        }
-        self.link.look().map_err(PassError::ClientLeft)
-    }
-
-    /// Writes the head.
-    pub fn write(&self, parts: &[&[u8]]) -> Result<(), (usize, io::Error)> {
-        match net::write_gathered(&self.server, parts) {
-            Err((written, error)) if net::is_wait(&error) => {
-                let whole = parts.concat();
-                net::write_until(&self.server, &[&whole[written..]], self.until)
-                    .map_err(|(more, error)| (written + more, error))
-            }
-            done => done,
-        }
-    }
-
-    /// The server's next line with its end. A client that leaves meanwhile cuts the wait short; `failed` says how
-    /// far the pass had come if the server gives none.
-    pub fn line(&mut self, failed: impl Fn(ReadError) -> PassError) -> Result<Vec<u8>, PassError> {
-        loop {
-            if let Some(line) = self.intake.whole_line() {
-                return Ok(line);
-            }
-            let left = self.until.saturating_duration_since(Instant::now());
-            let sides = [(&self.server, PollFlags::IN), (self.link.client(), PollFlags::IN)];
-            let [server_ready, client_ready] = net::ready(sides, left);
-            if client_ready {
-                self.link.look().map_err(PassError::ClientLeft)?;
-            }
-            if server_ready || left.is_zero() {
-                self.intake.read(&self.server, Instant::now()).or_else(|error| match error {
-                    ReadError::TimedOut if !left.is_zero() => Ok(()),
-                    error => Err(failed(error)),
-                })?;
-            }
-        }
-    }
-}
-
 /// Makes a pass. Its connection is closed by the time that an error is known. Guards against an attempt that still
 /// counts as out while the next one is made.
 pub fn pass<F: Front>(
@@ -220,7 +34,8 @@
     let patience = connect_timeout.min(within).max(Duration::from_millis(1));
     let server = TcpStream::connect_timeout(&to.address, patience).map_err(PassError::NotConnected)?;
     net::prepare(&server).map_err(PassError::NotConnected)?;
-    let mut asking = Asking { server, to, link, until, intake: Intake::new(MOST_AHEAD) };
+    let mut asking = Asking::new(server, to, link, until);
     let answer = front.pass(&mut asking, greeting)?;
-    Ok(Passed { server: asking.server, answer, ahead: asking.intake.into_rest() })
+    let (server, ahead) = asking.into_parts();
+    Ok(Passed { server, answer, ahead })
 }
--- a/balancer/src/stages/take_in.rs
+++ b/balancer/src/stages/take_in.rs
@@ -13,6 +13,7 @@
 use crate::front::{First, Front, NoOpening, Refusal, Word};
 use crate::log::{self, Bounded, Level};
 use crate::net::{self, Intake, ReadError};
+use crate::pass::Client;
 use crate::reload::Sockets;
 use crate::stages::relay::Link;
 use crate::stages::transaction::{Admitted, Desk};
@@ -252,7 +253,7 @@
         Err(Refusal { answer, why }) => {
             refusals.line(front.name(), format_args!("opening refused: {why}"));
             link.answer(&answer);
-            net::drain(link.client(), LAST_WORD);
+            net::drain(link.stream(), LAST_WORD);
         }
     }
 }
--- a/balancer/src/stages/transaction.rs
+++ b/balancer/src/stages/transaction.rs
@@ -18,9 +18,10 @@
 use crate::front::{Front, Word};
 use crate::log::{self, Level};
 use crate::net::ReadError;
+use crate::pass::{Client, End, PassError};
 use crate::poller::{Bell, EventFlags, Poller};
 use crate::stages::relay::{Link, Side, Standing};
-use crate::stages::send::{self, End, PassError, Passed};
+use crate::stages::send::{self, Passed};
 
 /// What is due without a side being ready is looked for this often.
 const LOOK: Duration = Duration::from_millis(100);
@@ -244,7 +245,7 @@
         let greeting = Arc::clone(self.greeting.as_ref()?);
         let nothing = EventFlags::empty();
         // One that can't be left alone would cut the waits of all others short.
-        poller.watch(link.client(), self.id * 2, (self.watched.0, nothing)).ok()?;
+        poller.watch(link.stream(), self.id * 2, (self.watched.0, nothing)).ok()?;
         self.watched = (nothing, nothing);
         self.begun = Instant::now();
         let Phase::Waiting(link) = std::mem::replace(&mut self.phase, Phase::Passing(None)) else {
@@ -394,9 +395,9 @@
     fn watch(&mut self, poller: &Poller) -> io::Result<()> {
         let nothing = EventFlags::empty();
         let (client, server, wanted) = match &self.phase {
-            Phase::Waiting(link) => (link.client(), None, (EventFlags::IN, nothing)),
+            Phase::Waiting(link) => (link.stream(), None, (EventFlags::IN, nothing)),
             Phase::LastWord(link, server, _) => {
-                (link.client(), server.as_ref(), (link.lingers_for(), nothing))
+                (link.stream(), server.as_ref(), (link.lingers_for(), nothing))
             }
             Phase::Standing(standing) => {
                 let (client, server) = standing.sides();
--- /dev/null
+++ b/balancer/tests/keeper.rs
@@ -0,0 +1,181 @@
+//! The keeper of overrides without a front: its store, its clocks, and what it does when the store fails.
+
+use std::sync::atomic::{AtomicI64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use beaconflow_balancer::clock::Clock;
+use beaconflow_balancer::overrides::{Config, Keeper, Refused, restore};
+use beaconflow_overrides::{Draft, Id, Kind, Limits, Millis, Override};
+use beaconflow_store::{OverrideStore, StoreError};
+
+const HOUR: i64 = 3_600_000;
+
+/// A wall clock that is stepped by hand.
+#[derive(Clone, Default)]
+struct Wall(Arc<AtomicI64>);
+
+impl Wall {
+    fn step_to(&self, ahead: i64) {
+        self.0.store(ahead, Ordering::Relaxed);
+    }
+}
+
+struct Desk {
+    folder: tempfile::TempDir,
+    clock: Clock,
+    wall: Wall,
+}
+
+impl Desk {
+    fn new() -> Desk {
+        Desk {
+            folder: tempfile::tempdir().expect("a folder for temporary files"),
+            clock: Clock::start(),
+            wall: Wall::default(),
+        }
+    }
+
+    fn config(&self) -> Config {
+        let file = Some(self.folder.path().join("overrides.redb"));
+        Config { file, limits: Limits { ramp: 100, ..Limits::default() } }
+    }
+
+    fn now(&self) -> Millis {
+        self.clock.now() / 1_000_000
+    }
+
+    fn keeper(&self) -> Keeper {
+        let config = self.config();
+        let (clock, wall) = (self.clock, self.wall.clone());
+        let read = move || (clock.now() / 1_000_000).saturating_add_signed(wall.0.load(Ordering::Relaxed));
+        let restored = restore(&config, self.clock);
+        Keeper::new(restored, Vec::new(), self.clock, config.limits, Box::new(read))
+    }
+
+    fn draft(&self, server: &str, span: Millis) -> Draft {
+        let kind = Kind::Out { server: server.into(), moves_per_s: None };
+        Draft { kind, who: "ada".into(), why: "why".into(), expires_at: self.now() + span }
+    }
+}
+
+#[test]
+fn a_step_of_the_wall_clock_neither_ends_an_override_nor_keeps_it() {
+    let desk = Desk::new();
+    for ahead in [HOUR, -HOUR, 0] {
+        let keeper = desk.keeper();
+        let long = keeper.add(desk.draft("long", 600_000), false, None).expect("kept").shown;
+        let short = keeper.add(desk.draft("short", 300), false, None).expect("kept").shown;
+        desk.wall.step_to(ahead);
+        keeper.look_after();
+        assert_eq!(keeper.wall_ahead(), ahead, "it is said");
+        let seen = keeper.get(long.one.id).expect("it holds on");
+        assert!(seen.remaining <= long.remaining && seen.remaining + 5_000 > long.remaining);
+        // People see it end by the clock that they read.
+        assert_eq!(seen.one.expires_at, long.one.expires_at.saturating_add_signed(ahead));
+        std::thread::sleep(Duration::from_millis(310));
+        assert!(keeper.get(short.one.id).is_none(), "its span is over");
+        // What is on the disk ends at the same moment, by the wall clock as it is after a restart.
+        drop(keeper);
+        let (store, contents) = beaconflow_store::open(&desk.config().file.expect("set")).expect("free");
+        let kept = contents.overrides.iter().find(|one| one.id == long.one.id).expect("kept");
+        assert_eq!(kept.expires_at, seen.one.expires_at);
+        drop(store);
+        // The next program reads the stepped clock at its start, so that it is not ahead of itself.
+        desk.wall.step_to(0);
+        let mut store = beaconflow_store::open(&desk.config().file.expect("set")).expect("free").0;
+        store.forget(&[long.one.id, short.one.id]).expect("durable");
+    }
+}
+
+#[test]
+fn an_end_given_by_the_wall_clock_is_meant_by_the_wall_clock() {
+    let desk = Desk::new();
+    let keeper = desk.keeper();
+    desk.wall.step_to(HOUR);
+    keeper.look_after();
+    // Ten minutes from now, as a person reads it off the stepped clock.
+    let given = desk.now() + HOUR as Millis + 600_000;
+    let draft = Draft { expires_at: keeper.from_wall(given), ..desk.draft("s", 1) };
+    let shown = keeper.add(draft, false, None).expect("kept").shown;
+    assert!(shown.remaining <= 600_000 && shown.remaining > 590_000, "{}", shown.remaining);
+    assert!(shown.one.expires_at.abs_diff(given) < 1_000);
+}
+
+/// A store that fails when it is told to, and counts what it was given.
+#[derive(Clone, Default)]
+struct Failing(Arc<Mutex<(bool, Vec<Override>)>>);
+
+impl OverrideStore for Failing {
+    fn put(&mut self, all: &[Override]) -> Result<(), StoreError> {
+        let mut state = self.0.lock().expect("sound");
+        if state.0 {
+            return Err(StoreError("no space left on device".into()));
+        }
+        state.1.extend_from_slice(all);
+        Ok(())
+    }
+
+    fn forget(&mut self, _: &[Id]) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    fn next_id(&self) -> Id {
+        Id(1 + self.0.lock().expect("sound").1.len() as u64)
+    }
+}
+
+#[test]
+fn what_could_not_be_made_durable_has_no_effect() {
+    let (desk, store) = (Desk::new(), Failing::default());
+    let limits = Limits::default();
+    let restored = beaconflow_balancer::overrides::Restored::kept_in(Box::new(store.clone()), limits);
+    let keeper = Keeper::new(restored, Vec::new(), desk.clock, limits, Box::new(|| 0));
+    let held = keeper.add(desk.draft("a", 60_000), false, None).expect("kept").shown;
+    store.0.lock().expect("sound").0 = true;
+    assert!(matches!(keeper.add(desk.draft("b", 60_000), false, None), Err(Refused::Store(_))));
+    assert!(matches!(keeper.remove(held.one.id, None), Err(Refused::Store(_))));
+    assert!(matches!(keeper.extend(held.one.id, desk.now() + 90_000, None), Err(Refused::Store(_))));
+    let all = keeper.list();
+    assert_eq!((all.len(), all[0].one.revision), (1, 1));
+    // Once there is room again, all goes on.
+    store.0.lock().expect("sound").0 = false;
+    assert_eq!(keeper.remove(held.one.id, Some(1)).expect("kept").shown.one.revision, 2);
+    assert!(keeper.list().is_empty());
+}
+
+#[test]
+fn without_a_store_none_are_taken_and_it_is_said_why() {
+    let desk = Desk::new();
+    let config = Config { file: None, limits: Limits::default() };
+    let keeper =
+        Keeper::new(restore(&config, desk.clock), Vec::new(), desk.clock, config.limits, Box::new(|| 0));
+    assert!(!keeper.about().kept);
+    match keeper.add(desk.draft("a", 60_000), false, None) {
+        Err(Refused::NoStore(why)) => assert!(why.contains("no store is set"), "{why}"),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn ten_thousand_overrides_are_kept_listed_and_ended() {
+    let desk = Desk::new();
+    let keeper = desk.keeper();
+    // Written in one go, as a store may hold them: one fsync each would take minutes on a slow disk.
+    drop(keeper);
+    let (mut store, _) = beaconflow_store::open(&desk.config().file.expect("set")).expect("free");
+    let now = desk.now();
+    let all: Vec<Override> =
+        (1..=10_000).map(|id| desk.draft(&format!("s{id}"), 60_000).into_override(Id(id), now)).collect();
+    store.put(&all).expect("durable");
+    drop(store);
+    let keeper = desk.keeper();
+    assert_eq!(keeper.list().len(), 10_000);
+    assert!(matches!(keeper.add(desk.draft("one more", 60_000), false, None), Err(Refused::Full(10_000))));
+    keeper.remove(Id(5_000), None).expect("kept");
+    assert_eq!(
+        keeper.add(desk.draft("one more", 60_000), false, None).expect("kept").shown.one.id,
+        Id(10_001)
+    );
+    assert_eq!(keeper.list().len(), 10_000);
+}
--- /dev/null
+++ b/cli/src/api.rs
@@ -0,0 +1,109 @@
+//! A client of the administration API.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde_json::Value;
+use ureq::http::Request;
+
+use crate::args::To;
+
+/// A call takes no longer than this.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// Where the token may stand, other than in a file.
+const TOKEN_VARIABLE: &str = "BEACONFLOW_TOKEN";
+
+/// Why a command did not do what was asked.
+pub enum Failure {
+    /// A fault here.
+    Local(String),
+    /// The command line is wrong.
+    Usage(String),
+    /// The API was not reached.
+    Unreached(String),
+    /// The API refused.
+    Refused(u16, String),
+}
+
+impl Failure {
+    /// The program's exit code.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Failure::Local(_) => 1,
+            Failure::Usage(_) => 2,
+            Failure::Unreached(_) => 3,
+            Failure::Refused(401, _) => 5,
+            Failure::Refused(500.., _) => 6,
+            Failure::Refused(..) => 4,
+        }
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Failure::Local(why) | Failure::Usage(why) => f.write_str(why),
+            Failure::Unreached(why) => write!(f, "the administration API was not reached: {why}"),
+            Failure::Refused(status, why) => write!(f, "{why} ({status})"),
+        }
+    }
+}
+
+/// The administration API.
+pub struct Api {
+    at: String,
+    token: String,
+    agent: ureq::Agent,
+}
+
+impl Api {
+    /// The API that the command line names.
+    pub fn new(to: &To) -> Result<Api, Failure> {
+        let token = match &to.token_file {
+            Some(file) => std::fs::read_to_string(file)
+                .map_err(|error| Failure::Local(format!("{}: {error}", file.display())))?,
+            None => std::env::var(TOKEN_VARIABLE).map_err(|_| {
+                Failure::Refused(
+                    401,
+                    format!("no token: name a file by --token-file, or set {TOKEN_VARIABLE}"),
+                )
+            })?,
+        };
+        let config = ureq::Agent::config_builder()
+            .timeout_global(Some(PATIENCE))
+            .http_status_as_error(false)
+            .proxy(None)
+            .build();
+        Ok(Api { at: to.api.clone(), token: token.trim().to_owned(), agent: config.into() })
+    }
+
+    /// One call; gives the body of its answer.
+    pub fn call(
+        &self,
+        method: &str,
+        path: &str,
+        body: Option<&Value>,
+        headers: &[(&str, &str)],
+    ) -> Result<Value, Failure> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.at))
+            .header("Authorization", format!("Bearer {}", self.token));
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let body = body.map(Value::to_string).unwrap_or_default();
+        let request = request.body(body).map_err(|error| Failure::Usage(error.to_string()))?;
+        let answer = self.agent.run(request).map_err(|error| Failure::Unreached(error.to_string()));
+        let mut answer = answer?;
+        let status = answer.status().as_u16();
+        let text = answer.body_mut().with_config().limit(64 << 20).read_to_string();
+        let text = text.map_err(|error| Failure::Unreached(error.to_string()))?;
+        let value: Value = serde_json::from_str(&text).unwrap_or_default();
+        if (200..300).contains(&status) {
+            return Ok(value);
+        }
+        let why = value["error"].as_str().unwrap_or("no reason was given").to_owned();
+        Err(Failure::Refused(status, why))
+    }
+}
--- /dev/null
+++ b/cli/src/show.rs
@@ -0,0 +1,142 @@
+//! Answers of the API as tables for people.
+
+use std::time::Duration;
+
+use comfy_table::{ContentArrangement, Table, presets};
+use serde_json::Value;
+
+fn table<const N: usize>(head: [&str; N]) -> Table {
+    let mut table = Table::new();
+    table
+        .load_preset(presets::NOTHING)
+        .set_content_arrangement(ContentArrangement::Disabled)
+        .set_header(head);
+    table
+}
+
+/// A value as it is read aloud.
+fn word(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Null => "-".into(),
+        other => other.to_string(),
+    }
+}
+
+/// `1h 30m 5s`.
+fn span(seconds: &Value) -> String {
+    let seconds = seconds.as_f64().filter(|seconds| (0.0..1e12).contains(seconds)).unwrap_or_default();
+    humantime::format_duration(Duration::from_secs(seconds as u64)).to_string()
+}
+
+/// What an override does, in a few words.
+fn what(one: &Value) -> String {
+    let server = word(&one["server"]);
+    match one["kind"].as_str() {
+        Some("out") if one["moves_per_s"].is_number() => {
+            format!("out {server}, moving {} a second", one["moves_per_s"])
+        }
+        Some("weight") => format!("weight {server} x {}", one["factor"]),
+        Some("pin") => {
+            let (what, name) =
+                if one["group"].is_string() { ("group", &one["group"]) } else { ("tenant", &one["tenant"]) };
+            format!("pin {what} {} to {server}, {}", word(name), word(&one["mode"]))
+        }
+        _ => format!("out {server}"),
+    }
+}
+
+/// The effect at each front; one word where all agree.
+fn effect(one: &Value) -> String {
+    let effects: Vec<(String, String)> = one["effects"]
+        .as_object()
+        .into_iter()
+        .flatten()
+        .map(|(front, effect)| (front.clone(), word(effect)))
+        .collect();
+    match effects.as_slice() {
+        [] => "-".into(),
+        [(_, first), rest @ ..] if rest.iter().all(|(_, effect)| effect == first) => first.clone(),
+        all => {
+            let words: Vec<String> = all.iter().map(|(front, effect)| format!("{front}: {effect}")).collect();
+            words.join(", ")
+        }
+    }
+}
+
+/// One override.
+pub fn one(one: &Value) -> String {
+    let mut table = table(["", ""]);
+    for (name, value) in [
+        ("override", word(&one["id"])),
+        ("does", what(one)),
+        ("effect", effect(one)),
+        ("left", span(&one["remaining_s"])),
+        ("expires", word(&one["expires_at"])),
+        ("since", word(&one["created_at"])),
+        ("who", word(&one["who"])),
+        ("why", word(&one["why"])),
+        ("revision", word(&one["revision"])),
+        ("forced", word(&one["forced"])),
+    ] {
+        table.add_row([name.to_owned(), value]);
+    }
+    table.trim_fmt().trim_start().to_owned()
+}
+
+/// All overrides, and what has to be said of where they are kept.
+pub fn list(answer: &Value) -> String {
+    let mut text = String::new();
+    for note in answer["notes"].as_array().into_iter().flatten() {
+        text.push_str(&format!("note: {}\n", word(note)));
+    }
+    if answer["kept"] != true {
+        text.push_str("No overrides are kept here.\n");
+        return text;
+    }
+    let ahead = answer["wall_ahead_s"].as_f64().unwrap_or_default();
+    if ahead.abs() >= 1.0 {
+        text.push_str(&format!("note: the wall clock was stepped by {ahead} s since the balancer's start\n"));
+    }
+    let all = answer["overrides"].as_array().map(Vec::as_slice).unwrap_or_default();
+    if all.is_empty() {
+        text.push_str("No override holds.\n");
+        return text;
+    }
+    let mut table = table(["ID", "DOES", "EFFECT", "LEFT", "WHO", "WHY"]);
+    for one in all {
+        table.add_row([
+            word(&one["id"]),
+            what(one),
+            effect(one),
+            span(&one["remaining_s"]),
+            word(&one["who"]),
+            word(&one["why"]),
+        ]);
+    }
+    text + &table.trim_fmt()
+}
+
+/// The farm.
+pub fn farm(answer: &Value) -> String {
+    let mut table =
+        table(["FRONT", "SERVER", "ADDRESS", "ZONE", "STANDING", "LISTED", "EFFECTIVE", "WHY THEY DIFFER"]);
+    for server in answer["servers"].as_array().into_iter().flatten() {
+        let side =
+            |side: &Value| format!("{} {:.3}", word(&side["state"]), side["weight"].as_f64().unwrap_or(0.0));
+        let why: Vec<String> = server["why"].as_array().into_iter().flatten().map(word).collect();
+        table.add_row([
+            word(&server["front"]),
+            word(&server["name"]),
+            word(&server["address"]),
+            word(&server["zone"]),
+            word(&server["standing"]),
+            side(&server["listed"]),
+            side(&server["effective"]),
+            why.join("; "),
+        ]);
+    }
+    let warnings = answer["warnings"].as_array().into_iter().flatten();
+    let warnings: String = warnings.map(|warning| format!("warning: {}\n", word(warning))).collect();
+    warnings + &table.trim_fmt()
+}
--- /dev/null
+++ b/cli/tests/commands.rs
@@ -0,0 +1,191 @@
+//! The commands that people use, against the program and alone: words, tables, JSON and exit codes.
+
+mod support;
+
+use std::process::{Command, Output};
+
+use support::*;
+
+/// A program with an administration API and one server that stands in its file.
+struct Site {
+    _program: Program,
+    api: String,
+    token: String,
+    folder: tempfile::TempDir,
+}
+
+impl Site {
+    fn start() -> Site {
+        let folder = tempfile::tempdir().expect("a folder for temporary files");
+        let (at, admin, server) = (free(), free(), listener().local_addr().expect("bound"));
+        let config = folder.path().join("config.json");
+        let known = list(1, true, &[("s0", server, "SERVING"), ("s1", server, "SERVING")]);
+        let text = format!(
+            r#"{{"name":"n0","listen":"{at}","discovery":"{}","seed":"7","known":{known},"settings":{SETTINGS}}}"#,
+            free()
+        );
+        std::fs::write(&config, text).expect("room");
+        let operator = folder.path().join("operator.toml");
+        let text = format!(
+            "[admin]\nlisten = \"{admin}\"\ntoken = \"{ADMIN_TOKEN}\"\n[overrides]\nfile = {:?}\n[log]\nform = \"json\"\n",
+            folder.path().join("overrides.redb")
+        );
+        std::fs::write(&operator, text).expect("room");
+        let token = folder.path().join("token");
+        std::fs::write(&token, format!("{ADMIN_TOKEN}\n")).expect("room");
+        let text = |path: &std::path::Path| path.to_str().expect("text").to_owned();
+        let program = Program::start(&["--operator", &text(&operator)], &[("LB_CONFIG", &text(&config))]);
+        program.says("admin on");
+        Site { _program: program, api: admin.to_string(), token: text(&token), folder }
+    }
+
+    /// Runs a command against the API.
+    fn run(&self, words: &[&str]) -> Output {
+        let mut all = words.to_vec();
+        all.extend(["--api", &self.api, "--token-file", &self.token]);
+        run(&all)
+    }
+
+    /// The same, which has to succeed; gives what it printed.
+    fn prints(&self, words: &[&str]) -> String {
+        let output = self.run(words);
+        let said = String::from_utf8(output.stderr).expect("text");
+        assert_eq!(output.status.code(), Some(0), "{words:?}: {said}");
+        String::from_utf8(output.stdout).expect("text")
+    }
+}
+
+fn run(words: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_beaconflow"));
+    command
+        .args(words)
+        .env_remove("BEACONFLOW_TOKEN")
+        .env_remove("BEACONFLOW_API")
+        .env_remove("BEACONFLOW_WHO");
+    command.output().expect("the program starts")
+}
+
+/// Exit code, and what was printed to standard error.
+fn ended(output: &Output) -> (Option<i32>, String) {
+    (output.status.code(), String::from_utf8(output.stderr.clone()).expect("text"))
+}
+
+#[test]
+fn an_override_is_added_shown_changed_and_removed_by_commands() {
+    let site = Site::start();
+    assert!(site.prints(&["override", "list"]).contains("No override holds."));
+    let add =
+        ["override", "add", "weight", "s0", "0.25", "--for", "1h 30m", "--who", "ada", "--why", "slow disk"];
+    let added = site.prints(&add);
+    assert!(added.contains("weight s0 x 0.25") && added.contains("in effect"), "{added}");
+    let pinned =
+        ["override", "add", "pin", "s1", "--group", "north", "--strict", "--for", "90s", "--who", "ada"];
+    let pinned = site.prints(&[&pinned[..], &["--why", "tests", "--json"]].concat());
+    let pinned: serde_json::Value = serde_json::from_str(&pinned).expect("JSON");
+    assert_eq!((pinned["group"].as_str(), pinned["mode"].as_str()), (Some("north"), Some("strict")));
+    let listed = site.prints(&["override", "list"]);
+    let rows: Vec<&str> = listed.lines().collect();
+    assert!(rows[0].contains("LEFT") && rows[0].contains("EFFECT"), "{listed}");
+    assert!(rows[1].contains("1h 29m") && rows[2].contains("pin group north to s1, strict"), "{listed}");
+    let farm = site.prints(&["farm"]);
+    assert!(
+        farm.contains("ready 1.000") && farm.contains("ready 0.250") && farm.contains("slow disk"),
+        "{farm}"
+    );
+    let extended = site.prints(&["override", "extend", "1", "--for", "3h", "--revision", "1", "--json"]);
+    let extended: serde_json::Value = serde_json::from_str(&extended).expect("JSON");
+    assert!(
+        extended["remaining_s"].as_f64().is_some_and(|left| left > 10_000.0) && extended["revision"] == 2
+    );
+    // Late, unknown, faulty, conflicting: refused, each in words.
+    let (code, said) = ended(&site.run(&["override", "remove", "1", "--revision", "1"]));
+    assert!(code == Some(4) && said.contains("412"), "{said}");
+    assert_eq!(ended(&site.run(&["override", "show", "99"])).0, Some(4));
+    let wrong = ["override", "add", "weight", "s0", "0", "--for", "1h", "--who", "ada", "--why", "w"];
+    let (code, said) = ended(&site.run(&wrong));
+    assert!(code == Some(4) && said.contains("factor"), "{said}");
+    assert!(site.prints(&["override", "remove", "1"]).contains("ended"));
+    assert!(!site.prints(&["override", "list"]).contains("slow disk"));
+    let both = ["override", "add", "out", "s0", "--for", "1h", "--who", "ada", "--why", "w"];
+    site.prints(&both);
+    let second: Vec<&str> = both.iter().map(|word| if *word == "s0" { "s1" } else { word }).collect();
+    let (code, said) = ended(&site.run(&second));
+    assert!(code == Some(4) && said.contains("no ready server"), "{said}");
+    site.prints(&[&second[..], &["--force"]].concat());
+    assert!(site.prints(&["farm"]).contains("warning: platform: overrides leave no ready server"));
+}
+
+#[test]
+fn exit_codes_say_whose_fault_it_was() {
+    let site = Site::start();
+    assert_eq!(ended(&run(&["override", "list", "--api", &site.api])).0, Some(5), "no token");
+    let wrong = site.folder.path().join("wrong");
+    std::fs::write(&wrong, "not the token at all").expect("room");
+    let wrong = wrong.to_str().expect("text");
+    assert_eq!(ended(&run(&["override", "list", "--api", &site.api, "--token-file", wrong])).0, Some(5));
+    let nobody = free().to_string();
+    assert_eq!(ended(&run(&["farm", "--api", &nobody, "--token-file", &site.token])).0, Some(3));
+    assert_eq!(ended(&run(&["farm", "--token-file", "/no/such/file"])).0, Some(1));
+    assert_eq!(ended(&run(&["no-such-command"])).0, Some(2));
+    assert_eq!(ended(&site.run(&["override", "add", "out", "s0", "--who", "a", "--why", "b"])).0, Some(2));
+    // A token is never an argument, where others on the machine would read it.
+    assert_eq!(ended(&run(&["farm", "--token", ADMIN_TOKEN])).0, Some(2));
+    for words in [&["--help"][..], &["override", "add", "--help"], &["completions", "bash"], &["--version"]] {
+        let output = run(words);
+        assert!(output.status.success() && output.stdout.len() > 10, "{words:?}");
+    }
+}
+
+#[test]
+fn check_names_every_fault_of_a_file_and_quotes_no_secret() {
+    let folder = tempfile::tempdir().expect("a folder for temporary files");
+    let check = |text: &str| {
+        let path = folder.path().join("operator.toml");
+        std::fs::write(&path, text).expect("room");
+        let output = run(&["check", path.to_str().expect("text")]);
+        (output.status.code(), String::from_utf8(output.stdout).expect("text"))
+    };
+    let sample = std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../deploy/nats.toml"))
+        .expect("it is there");
+    let (code, said) = check(&sample);
+    assert!(code == Some(1) && said.lines().count() == 1 && said.contains("admin.token"), "{said}");
+    assert_eq!(check(&sample.replace("CHANGE-ME", "a token of one's own")).0, Some(0));
+    let wrong = sample
+        .replace("token = \"CHANGE-ME\"", "token = 7654321")
+        .replace("listen = \"127.0.0.1:8222\"", "listen = \"0.0.0.0:8222\"")
+        .replace("sockets = 4096", "sockets = -1\nsocket = 1")
+        .replace("most_early = 65536", "most_early = 1")
+        .replace("url = \"redis:", "url = \"http:")
+        .replace("weight = 1.0 },\n]", "weight = 0.0, size = 3 },\n]")
+        .replace("max-attempts = 6", "max-attempts = 0")
+        .replace("cold-share = 0.13", "cold-share = 1.3")
+        .replace(
+            "[settings]",
+            "[overrides]\nlongest_s = 0\nmost = 0\nramp_s = -1\nfile = 3\n[log]\nform = \"xml\"\n[settings]",
+        );
+    let (code, said) = check(&wrong);
+    assert_eq!(code, Some(1));
+    for field in [
+        "admin.token",
+        "admin.listen",
+        "sockets",
+        "socket: no such field",
+        "wire.most_early",
+        "store.url",
+        "farm.servers[1].weight",
+        "farm.servers[1].size",
+        "limits.max_attempts",
+        "rules.cold_share",
+        "overrides.longest_s",
+        "overrides.most",
+        "overrides.ramp_s",
+        "overrides.file",
+        "log.form",
+    ] {
+        assert!(said.contains(field), "{field} is not in\n{said}");
+    }
+    assert!(!said.contains("7654321"), "{said}");
+    let (code, said) = check("[admin\n");
+    assert!(code == Some(1) && said.contains("line 1: not TOML"), "{said}");
+    assert_eq!(run(&["check", "/no/such/file"]).status.code(), Some(1));
+}
--- a/balancer/tests/nats.rs
+++ b/cli/tests/nats.rs
@@ -9,33 +9,40 @@
 use support::nats::*;
 use support::*;
 
-const TOKEN: &str = "an operator's own token";
 const PASSWORD: &str = "acme's own password";
 
 /// A balancer with its stores, its farm told by discovery.
 struct Site {
     program: Program,
     at: SocketAddr,
-    admin: SocketAddr,
+    api: Api,
     redis: Redis,
     discovery: Discovery,
     record: Shared,
     /// The operator's file, and what stands in it.
     path: String,
     file: String,
+    _folder: tempfile::TempDir,
 }
 
 impl Site {
     fn start(name: &str) -> Site {
+        Site::with(name, SETTINGS)
+    }
+
+    fn with(name: &str, settings: &str) -> Site {
         let (at, admin, redis, discovery) = (free(), free(), Redis::start(), Discovery::start());
-        let settings = SETTINGS.replace("\n", " ");
+        let settings = settings.replace("\n", " ");
+        let folder = tempfile::tempdir().expect("a folder for temporary files");
         let settings: serde_json::Value = serde_json::from_str(&settings).expect("JSON");
         let file_text = format!(
             "name = \"front\"\nlisten = \"{at}\"\nsockets = 256\n\
              wire = {{ max_payload = 64, connect_wait_ms = 300, ping_after_ms = 300, silence_ms = 2000 }}\n\
-             store = {{ url = \"redis://{}/\", fresh_ms = 1 }}\nadmin = {{ listen = \"{admin}\", token = \"{TOKEN}\" }}\n\
+             store = {{ url = \"redis://{}/\", fresh_ms = 1 }}\nadmin = {{ listen = \"{admin}\", token = \"{ADMIN_TOKEN}\" }}\n\
+             overrides = {{ file = \"{}\", ramp_s = 0.4 }}\n\
              farm = {{ discovery = \"{}\" }}\n{}",
             redis.address,
+            folder.path().join("overrides.redb").display(),
             discovery.address,
             toml::to_string(&serde_json::json!({ "settings": settings })).expect("TOML")
         );
@@ -43,15 +50,19 @@
         let program = Program::start(&["--operator", &path], &[]);
         program.says("nats on");
         let record = Shared::default();
-        let site = Site { program, at, admin, redis, discovery, record, path, file: file_text };
+        program.says("admin on");
+        let api = Api { at: admin, token: ADMIN_TOKEN };
+        let site =
+            Site { program, at, api, redis, discovery, record, path, file: file_text, _folder: folder };
         assert_eq!(site.ask("POST", "/v1/tenants", &tenant("acme", "chat", 8)).0, 201);
         assert_eq!(site.ask("POST", "/v1/tenants", &tenant("once", "once", 8)).0, 201);
         site
     }
 
     fn ask(&self, method: &str, path: &str, body: &str) -> (u16, String) {
-        let (status, text) = ask(self.admin, method, path, TOKEN, body);
-        for secret in [PASSWORD, TOKEN, "up-secret", "argon2"] {
+        let Answer { status, body, .. } = self.api.call(method, path, body);
+        let text = body.to_string();
+        for secret in [PASSWORD, ADMIN_TOKEN, "up-secret", "argon2"] {
             assert!(!text.contains(secret), "{text}");
         }
         (status, text)
@@ -307,7 +318,7 @@
     std::fs::write(&site.path, "admin = 1").expect("the same folder");
     site.program.signal("HUP");
     let kept = site.program.says("what stands is kept");
-    assert!(!kept.contains(TOKEN), "{kept}");
+    assert!(!kept.contains(ADMIN_TOKEN), "{kept}");
     site.check();
 }
 
@@ -317,7 +328,7 @@
     let only = site.server("only", Manner::Serve);
     tell(&mut site.discovery.watch(), 1, true, &rows(&[(&only, "SERVING")]));
     site.program.says("generation=1");
-    assert_eq!(ask(site.admin, "GET", "/v1/tenants", "no token of ours", "").0, 401);
+    assert_eq!(Api { at: site.api.at, token: "no token of ours" }.call("GET", "/v1/tenants", "").status, 401);
     for (method, path, body, status) in [
         ("POST", "/v1/tenants", tenant("acme", "chat", 1).as_str(), 409),
         ("POST", "/v1/tenants", tenant("other", "nothing", 1).as_str(), 422),
@@ -363,3 +374,42 @@
     let mut removed = client(site.at, "removed", "once", "once's new password");
     removed.hears("-ERR 'Authorization Violation'");
 }
+
+#[test]
+fn no_first_byte_goes_to_a_server_after_its_override_was_acknowledged() {
+    let site =
+        Site::with("withheld", &SETTINGS.replace("\"on-time-ns\":400000000", "\"on-time-ns\":2000000000"));
+    let (late, good) = (site.server("late", Manner::LateInfo), site.server("good", Manner::Serve));
+    let mut watch = site.discovery.watch();
+    tell(&mut watch, 1, true, &rows(&[(&late, "SERVING")]));
+    site.program.says("generation=1");
+    // A pass is up at the one server there is, which has not said INFO; then that server is taken out.
+    let speaking = late.voice.lock().expect("sound");
+    let mut client = site.client("first");
+    let passes = || site.api.call("GET", "/v1/counts", "").body["fronts"]["nats"]["passes"].as_u64();
+    let until = Instant::now() + PATIENCE;
+    while passes() != Some(1) {
+        assert!(Instant::now() < until, "no pass was made");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    tell(&mut watch, 2, false, &rows(&[(&good, "SERVING")]));
+    site.program.says("generation=2");
+    let out = r#"{"kind":"out","server":"late","who":"ada","why":"hung","expires_in_s":60}"#;
+    site.api.add(out);
+    drop(speaking);
+    assert_eq!(site.answer("first", &mut client), "PONG");
+    assert_eq!(site.record.lock().expect("sound").passes_of("first"), 1, "the other server's alone");
+    let counts = site.api.call("GET", "/v1/counts", "").body;
+    assert_eq!(counts["fronts"]["nats"]["ends"]["not-sent"], 1, "{counts}");
+    // A tenant's pin, strict, to the server that is out: refused at once, with a time.
+    site.api.add(
+        r#"{"kind":"pin","server":"late","tenant":"acme","mode":"strict","who":"ada","why":"test","expires_in_s":60}"#,
+    );
+    let answer = site.answer("second", &mut site.client("second"));
+    assert!(answer.starts_with("-ERR 'Service Unavailable; try again in "), "{answer}");
+    let all = site.api.overrides();
+    assert_eq!(all[1]["effects"]["nats"], "server takes nothing new");
+    // Another tenant is not meant.
+    let mut other = support::nats::client(site.at, "third", "once", PASSWORD);
+    other.hears("PONG");
+}
--- a/balancer/tests/support/mod.rs
+++ b/cli/tests/support/mod.rs
@@ -6,7 +6,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -43,8 +43,8 @@
 
 impl Program {
     pub fn start(args: &[&str], env: &[(&str, &str)]) -> Program {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_beaconflow-balancer"));
-        command.args(args).envs(env.iter().copied()).stderr(Stdio::piped());
+        let mut command = Command::new(env!("CARGO_BIN_EXE_beaconflow"));
+        command.arg("serve").args(args).envs(env.iter().copied()).stderr(Stdio::piped());
         let mut child = command.spawn().expect("the program starts");
         let lines = BufReader::new(child.stderr.take().expect("piped")).lines();
         let (send, log) = channel();
@@ -71,17 +71,26 @@
         assert!(done.success());
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// How many threads it has.
     pub fn threads(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("it runs").count()
     }
 
-    /// Waits for the program's own end.
+    /// Waits for the program's own end, which has to be in order.
     pub fn left(&mut self) -> bool {
+        self.ends().success()
+    }
+
+    /// Waits for the program's end.
+    pub fn ends(&mut self) -> ExitStatus {
         let until = Instant::now() + PATIENCE;
         while Instant::now() < until {
             if let Some(status) = self.child.try_wait().expect("a child") {
-                return status.success();
+                return status;
             }
             std::thread::sleep(Duration::from_millis(5));
         }
@@ -256,3 +265,78 @@
     std::fs::write(&path, text).expect("a folder for temporary files");
     path.to_str().expect("text").to_owned()
 }
+
+/// The administration API of a program under test.
+pub struct Api {
+    pub at: SocketAddr,
+    pub token: &'static str,
+}
+
+pub const ADMIN_TOKEN: &str = "an operator's own token";
+
+/// What the API answers: status, headers as they come, and a body.
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: serde_json::Value,
+}
+
+impl Api {
+    /// A call with further headers, each whole and ended.
+    pub fn call_with(&self, method: &str, path: &str, headers: &str, body: &str) -> Answer {
+        // The program may have begun to serve its clients a moment before.
+        let stream = Peer::connect(self.at).stream;
+        self.ask(stream, method, path, headers, body).expect("it answers")
+    }
+
+    /// A call to a program that may be killed meanwhile.
+    pub fn try_call(&self, method: &str, path: &str, body: &str) -> Option<Answer> {
+        self.ask(TcpStream::connect(self.at).ok()?, method, path, "", body)
+    }
+
+    fn ask(
+        &self,
+        mut stream: TcpStream,
+        method: &str,
+        path: &str,
+        headers: &str,
+        body: &str,
+    ) -> Option<Answer> {
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {}\r\n{headers}",
+            self.token
+        );
+        write!(stream, "{head}Content-Length: {}\r\n\r\n{body}", body.len()).ok()?;
+        stream.set_read_timeout(Some(PATIENCE)).expect("open");
+        let mut reply = String::new();
+        stream.read_to_string(&mut reply).ok()?;
+        let (head, body) = reply.split_once("\r\n\r\n")?;
+        let status = head.split(' ').nth(1)?.parse().ok()?;
+        Some(Answer { status, head: head.to_owned(), body: serde_json::from_str(body).unwrap_or_default() })
+    }
+
+    pub fn call(&self, method: &str, path: &str, body: &str) -> Answer {
+        self.call_with(method, path, "", body)
+    }
+
+    /// Adds an override that has to be taken; gives its number.
+    pub fn add(&self, body: &str) -> u64 {
+        let answer = self.call("POST", "/v1/overrides", body);
+        assert_eq!(answer.status, 201, "{}", answer.body);
+        answer.body["id"].as_u64().expect("a number")
+    }
+
+    /// Every override that holds, by number.
+    pub fn overrides(&self) -> Vec<serde_json::Value> {
+        let answer = self.call("GET", "/v1/overrides", "");
+        assert_eq!(answer.status, 200);
+        answer.body["overrides"].as_array().expect("a list").clone()
+    }
+
+    /// A server's row in the farm.
+    pub fn server(&self, name: &str) -> serde_json::Value {
+        let farm = self.call("GET", "/v1/farm", "").body;
+        let rows = farm["servers"].as_array().expect("a list");
+        rows.iter().find(|row| row["name"] == name).unwrap_or_else(|| panic!("no {name} in {farm}")).clone()
+    }
+}
--- a/balancer/tests/support/nats.rs
+++ b/cli/tests/support/nats.rs
@@ -1,13 +1,13 @@
 //! Stand-ins for NATS and Redis, from their public specifications, and the rules that every exchange keeps.
 
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use super::{PATIENCE, Peer, listener};
+use super::{Peer, listener};
 
 /// What a NATS server does with a CONNECT.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -18,6 +18,8 @@
     Forbid,
     /// It hangs up before its INFO.
     Mute,
+    /// Its INFO comes once its voice is free.
+    LateInfo,
 }
 
 /// One pass as a server saw it, from CONNECT's last byte to the connection's end.
@@ -124,6 +126,9 @@
     if manner == Manner::Mute {
         return;
     }
+    if manner == Manner::LateInfo {
+        drop(voice.lock().expect("sound"));
+    }
     let mut out = stream;
     let info = format!("INFO {{\"server_id\":\"{name}\",\"max_payload\":1048576}}\r\n");
     let mut reader = BufReader::new(stream);
@@ -160,7 +165,7 @@
 }
 
 fn answer_to(message: &str, manner: Manner, silent: &AtomicBool) -> String {
-    if manner != Manner::Serve || silent.load(Ordering::Relaxed) {
+    if !matches!(manner, Manner::Serve | Manner::LateInfo) || silent.load(Ordering::Relaxed) {
         return String::new();
     }
     if message == "PING\r\n" {
@@ -287,15 +292,3 @@
     let (count, _) = number('*')?;
     (0..count).map(|_| number('$').map(|(_, text)| text)).collect()
 }
-
-/// One request to the administration API: status and body.
-pub fn ask(to: SocketAddr, method: &str, path: &str, token: &str, body: &str) -> (u16, String) {
-    let mut stream = Peer::connect(to).stream;
-    let head = format!("{method} {path} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {token}\r\n");
-    write!(stream, "{head}Content-Length: {}\r\n\r\n{body}", body.len()).expect("it reads");
-    stream.set_read_timeout(Some(PATIENCE)).expect("open");
-    let mut reply = String::new();
-    stream.read_to_string(&mut reply).expect("it answers");
-    let status = reply.split(' ').nth(1).and_then(|status| status.parse().ok()).expect("a status");
-    (status, reply.split_once("\r\n\r\n").expect("a head").1.to_owned())
-}
--- /dev/null
+++ b/overrides/benches/effects.rs
@@ -0,0 +1,67 @@
+//! What overrides cost: a look at one arrival and one server, and an effective list of 10,000 servers.
+
+use std::hint::black_box;
+use std::time::Duration;
+
+use beaconflow_overrides::{Draft, Id, Kind, Listed, Set, Strictness, Subject, judge};
+use beaconflow_settings::digest;
+use criterion::{BenchmarkId, Criterion};
+
+const NOW: u64 = 1_000_000;
+
+/// So many overrides: a third each of servers out, weights and pins.
+fn set(count: u64) -> Set {
+    let mut set = Set::new(30_000);
+    for id in 1..=count {
+        let server = format!("server-{id}");
+        let kind = match id % 3 {
+            0 => Kind::Out { server, moves_per_s: None },
+            1 => Kind::Weight { server, factor: 0.5 },
+            _ => Kind::Pin {
+                subject: Subject::Group(format!("group-{id}")),
+                server,
+                strictness: Strictness::Prefer,
+            },
+        };
+        let draft = Draft { kind, who: "w".into(), why: "y".into(), expires_at: NOW * 2 };
+        set.put(draft.into_override(Id(id), 1));
+    }
+    set
+}
+
+fn benches(criterion: &mut Criterion) {
+    let mut arrivals = criterion.benchmark_group("pin of an arrival");
+    for count in [0, 100, 10_000] {
+        let set = set(count);
+        arrivals.bench_function(BenchmarkId::from_parameter(count), |bencher| {
+            let (group, tenant) = (Some(digest("group-5")), Some(digest("acme")));
+            bencher.iter(|| set.has_pins().then(|| black_box(set.pin(black_box(group), tenant, NOW))));
+        });
+    }
+    arrivals.finish();
+    let mut lists = criterion.benchmark_group("effective list of 10000 servers");
+    let names: Vec<String> = (1..=10_000).map(|id| format!("server-{id}")).collect();
+    for count in [0, 1_000, 10_000] {
+        let set = set(count);
+        lists.bench_function(BenchmarkId::from_parameter(count), |bencher| {
+            bencher.iter(|| names.iter().filter(|name| set.server(black_box(name), NOW).out).count());
+        });
+    }
+    lists.finish();
+    let mut others = criterion.benchmark_group("with 10000 overrides");
+    let whole = set(10_000);
+    others.bench_function("next change", |bencher| bencher.iter(|| whole.next_change(black_box(NOW))));
+    others.bench_function("effect of one", |bencher| {
+        bencher.iter(|| whole.effect(black_box(Id(5_000)), Listed::Ready, NOW));
+    });
+    others.bench_function("judgement of 10000 servers", |bencher| {
+        bencher.iter(|| judge(names.iter().map(|name| (name.as_str(), "a")), &whole, NOW));
+    });
+    others.finish();
+}
+
+fn main() {
+    let mut criterion = Criterion::default().measurement_time(Duration::from_secs(2)).configure_from_args();
+    benches(&mut criterion);
+    criterion.final_summary();
+}
--- /dev/null
+++ b/overrides/src/set.rs
@@ -0,0 +1,277 @@
+//! The set of overrides, and what it says of a server, an arrival and the time to come.
+
+use std::borrow::Borrow;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::hash::Hash;
+
+use beaconflow_settings::digest;
+
+use crate::effect::Standing;
+use crate::kind::{Id, Kind, Override, Strictness, Subject};
+use crate::{Effect, Listed, Millis};
+
+/// Steps in which a weight that rises is brought back.
+const STEPS: u64 = 20;
+/// A weight that rises begins with this part of what it comes to. Guards against a first turn that lies many rounds
+/// ahead, as it does for a server of hardly any weight.
+const FIRST_PART: f64 = 0.1;
+
+/// Where a pinned arrival goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pin<'a> {
+    /// The override that says so.
+    pub id: Id,
+    /// The server's name.
+    pub server: &'a str,
+    /// Whether it may go elsewhere.
+    pub strictness: Strictness,
+}
+
+/// All overrides that hold, and those whose end is still felt.
+#[derive(Clone, Debug, Default)]
+pub struct Set {
+    all: BTreeMap<Id, Override>,
+    /// Those that concern a server itself, by its name.
+    by_server: HashMap<String, Vec<Id>>,
+    by_group: HashMap<u64, Vec<Id>>,
+    by_tenant: HashMap<u64, Vec<Id>>,
+    /// Every moment at which one begins or ends.
+    bounds: BTreeSet<(Millis, Id)>,
+    ramp: Millis,
+}
+
+impl Set {
+    /// An empty set; weights that rise do so over the span.
+    pub fn new(ramp: Millis) -> Set {
+        Set { ramp, ..Set::default() }
+    }
+
+    /// How many there are, with those that have ended and are still felt.
+    pub fn len(&self) -> usize {
+        self.all.len()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.all.is_empty()
+    }
+
+    /// One of them.
+    pub fn get(&self, id: Id) -> Option<&Override> {
+        self.all.get(&id)
+    }
+
+    /// All of them, in the order of their numbers.
+    pub fn iter(&self) -> impl Iterator<Item = &Override> {
+        self.all.values()
+    }
+
+    /// Those that hold.
+    pub fn holding(&self, now: Millis) -> impl Iterator<Item = &Override> {
+        self.all.values().filter(move |one| one.holds(now))
+    }
+
+    /// Whether any pin is known; arrivals need not be looked up where none is.
+    pub fn has_pins(&self) -> bool {
+        !(self.by_group.is_empty() && self.by_tenant.is_empty())
+    }
+
+    /// Enters an override, or what it has become.
+    pub fn put(&mut self, one: Override) {
+        self.forget(one.id);
+        self.bounds.insert((one.created_at, one.id));
+        self.bounds.insert((one.end(), one.id));
+        let ids = match &one.kind {
+            Kind::Out { server, .. } | Kind::Weight { server, .. } => {
+                self.by_server.entry(server.clone()).or_default()
+            }
+            Kind::Pin { subject: Subject::Group(name), .. } => self.by_group.entry(digest(name)).or_default(),
+            Kind::Pin { subject: Subject::Tenant(name), .. } => {
+                self.by_tenant.entry(digest(name)).or_default()
+            }
+        };
+        let place = ids.partition_point(|id| *id < one.id);
+        ids.insert(place, one.id);
+        self.all.insert(one.id, one);
+    }
+
+    /// Forgets an override without a trace.
+    pub fn forget(&mut self, id: Id) -> Option<Override> {
+        let one = self.all.remove(&id)?;
+        self.bounds.remove(&(one.created_at, id));
+        self.bounds.remove(&(one.end(), id));
+        match &one.kind {
+            Kind::Out { server, .. } | Kind::Weight { server, .. } => strike(&mut self.by_server, server, id),
+            Kind::Pin { subject: Subject::Group(name), .. } => {
+                strike(&mut self.by_group, &digest(name), id);
+            }
+            Kind::Pin { subject: Subject::Tenant(name), .. } => {
+                strike(&mut self.by_tenant, &digest(name), id);
+            }
+        }
+        Some(one)
+    }
+
+    /// Those whose end is no longer felt.
+    pub fn spent(&self, now: Millis) -> Vec<Id> {
+        let ended = self.bounds.iter().take_while(|(at, _)| at.saturating_add(self.ramp) <= now);
+        let spent = |id: &Id| self.all[id].end().saturating_add(self.ramp) <= now;
+        let ids: BTreeSet<Id> = ended.map(|(_, id)| *id).filter(spent).collect();
+        ids.into_iter().collect()
+    }
+
+    /// Those that ended after the one moment and not after the other.
+    pub fn ended_between(&self, after: Millis, until: Millis) -> Vec<Id> {
+        if after >= until {
+            return Vec::new();
+        }
+        let bounds = self.bounds.range((after + 1, Id(0))..=(until, Id(u64::MAX)));
+        bounds.filter(|(at, id)| self.all[id].end() == *at).map(|(_, id)| *id).collect()
+    }
+
+    /// What a server is under the overrides.
+    pub fn server(&self, name: &str, now: Millis) -> Standing {
+        match self.by_server.get(name) {
+            None => Standing::AS_LISTED,
+            Some(ids) => self.standing(ids, now),
+        }
+    }
+
+    /// The servers that any override concerns itself.
+    pub fn servers(&self) -> impl Iterator<Item = &str> {
+        self.by_server.keys().map(String::as_str)
+    }
+
+    /// The rate at which a server's standing connections are moved off it, and the override that says so.
+    pub fn moves(&self, name: &str, now: Millis) -> Option<(Id, f64)> {
+        let winner = self.winner(self.by_server.get(name)?, now)?;
+        match self.all[&winner].kind {
+            Kind::Out { moves_per_s: Some(rate), .. } => Some((winner, rate)),
+            _ => None,
+        }
+    }
+
+    /// Where an arrival goes, by the hashes of its group and tenant. The group's pin comes first: it says more.
+    pub fn pin(&self, group: Option<u64>, tenant: Option<u64>, now: Millis) -> Option<Pin<'_>> {
+        let of = |map: &HashMap<u64, Vec<Id>>, key: Option<u64>| self.latest(map.get(&key?)?, now);
+        let id = of(&self.by_group, group).or_else(|| of(&self.by_tenant, tenant))?;
+        match &self.all[&id].kind {
+            Kind::Pin { server, strictness, .. } => Some(Pin { id, server, strictness: *strictness }),
+            Kind::Out { .. } | Kind::Weight { .. } => None,
+        }
+    }
+
+    /// The next moment at which anything that this set says changes by itself.
+    pub fn next_change(&self, now: Millis) -> Option<Millis> {
+        let next = self.bounds.range((now.saturating_add(1), Id(0))..).next().map(|(at, _)| *at);
+        let felt = (now.saturating_sub(self.ramp).saturating_add(1), Id(0))..=(now, Id(u64::MAX));
+        let rises = |id: &Id| match &self.all[id].kind {
+            Kind::Out { server, .. } | Kind::Weight { server, .. } => {
+                let standing = self.standing(&self.by_server[server], now);
+                standing.factor < standing.to
+            }
+            Kind::Pin { .. } => false,
+        };
+        let steps = self.bounds.range(felt).filter(|(_, id)| rises(id));
+        let steps = steps.map(|(at, _)| next_step(*at, now, self.ramp));
+        next.into_iter().chain(steps).min()
+    }
+
+    /// What an override does now, where this is what is listed under its server's name.
+    pub fn effect(&self, id: Id, listed: Listed, now: Millis) -> Option<Effect> {
+        let one = self.all.get(&id)?;
+        if !one.holds(now) {
+            return Some(Effect::Ended);
+        }
+        let (winner, server) = match &one.kind {
+            Kind::Out { server, .. } | Kind::Weight { server, .. } => {
+                (self.winner(&self.by_server[server], now), server)
+            }
+            Kind::Pin { subject: Subject::Group(name), server, .. } => {
+                (self.latest(&self.by_group[&digest(name)], now), server)
+            }
+            Kind::Pin { subject: Subject::Tenant(name), server, .. } => {
+                (self.latest(&self.by_tenant[&digest(name)], now), server)
+            }
+        };
+        let is_pin = matches!(one.kind, Kind::Pin { .. });
+        Some(match (winner, listed) {
+            (Some(winner), _) if winner != id => Effect::Shadowed(winner),
+            (_, Listed::Absent) => Effect::NotListed,
+            (_, Listed::Leaving) if is_pin => Effect::TakesNothing,
+            _ if is_pin && self.server(server, now).out => Effect::TakesNothing,
+            _ => Effect::InEffect,
+        })
+    }
+
+    /// The latest that holds.
+    fn latest(&self, ids: &[Id], now: Millis) -> Option<Id> {
+        ids.iter().rev().copied().find(|id| self.all[id].holds(now))
+    }
+
+    /// The one that holds for a server: the latest `out`, else the latest weight.
+    fn winner(&self, ids: &[Id], now: Millis) -> Option<Id> {
+        let is_out = |id: &Id| matches!(self.all[id].kind, Kind::Out { .. });
+        let holding = || ids.iter().rev().copied().filter(|id| self.all[id].holds(now));
+        holding().find(is_out).or_else(|| holding().next())
+    }
+
+    /// The factor that these come to, without regard to what was before; 0 is out.
+    fn target(&self, ids: &[Id], now: Millis) -> f64 {
+        match self.winner(ids, now).map(|id| &self.all[&id].kind) {
+            Some(Kind::Out { .. }) => 0.0,
+            Some(Kind::Weight { factor, .. }) => *factor,
+            Some(Kind::Pin { .. }) | None => 1.0,
+        }
+    }
+
+    /// A weight that falls does so at once; one that rises does so in steps, from what it was before. Guards against
+    /// a herd that turns to a server the moment it is back, and tips it over.
+    fn standing(&self, ids: &[Id], now: Millis) -> Standing {
+        let to = self.target(ids, now);
+        if to == 0.0 {
+            return Standing { out: true, factor: 0.0, to: 0.0 };
+        }
+        let mut factor = to;
+        for id in ids {
+            let one = &self.all[id];
+            for at in [one.created_at, one.end()] {
+                if at > now || now - at >= self.ramp || at == 0 {
+                    continue;
+                }
+                let before = self.target(ids, at - 1);
+                if before < to {
+                    let risen = before + (to - before) * part_risen(now - at, self.ramp);
+                    factor = factor.min(risen);
+                }
+            }
+        }
+        Standing { out: false, factor: factor.max(to * FIRST_PART), to }
+    }
+}
+
+/// Takes an override out of those of a name, and the name with the last of them.
+fn strike<K, Q>(map: &mut HashMap<K, Vec<Id>>, key: &Q, id: Id)
+where
+    K: Hash + Eq + Borrow<Q>,
+    Q: Hash + Eq + ?Sized,
+{
+    if let Some(ids) = map.get_mut(key) {
+        ids.retain(|other| *other != id);
+        if ids.is_empty() {
+            map.remove(key);
+        }
+    }
+}
+
+/// How much of the way back lies behind, in steps.
+fn part_risen(passed: Millis, ramp: Millis) -> f64 {
+    let steps = passed.saturating_mul(STEPS) / ramp.max(1);
+    steps.min(STEPS) as f64 / STEPS as f64
+}
+
+/// When the next step comes of a rise that began then.
+fn next_step(began: Millis, now: Millis, ramp: Millis) -> Millis {
+    let done = (now - began).saturating_mul(STEPS) / ramp.max(1);
+    began.saturating_add((ramp * (done + 1)).div_ceil(STEPS))
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -169,6 +169,11 @@
 impl Settings {
     /// Checks every field that the module divides by or waits on.
     pub fn check(&self) -> Result<(), SettingsError> {
+        self.faults().into_iter().next().map_or(Ok(()), Err)
+    }
+
+    /// All fields that are out of their range.
+    pub fn faults(&self) -> Vec<SettingsError> {
         let rules = &self.rules;
         let share_range = 0.0..=1.0;
         let faults = [
@@ -181,10 +186,7 @@
             ("rules.cold_share", !share_range.contains(&rules.cold_share) || rules.cold_share == 0.0),
             ("rules.tip_multiple", !rules.tip_multiple.is_finite() || rules.tip_multiple <= 0.0),
         ];
-        match faults.into_iter().find(|(_, bad)| *bad) {
-            Some((field, _)) => Err(SettingsError { field }),
-            None => Ok(()),
-        }
+        faults.into_iter().filter(|(_, bad)| *bad).map(|(field, _)| SettingsError { field }).collect()
     }
 
     pub(crate) fn knows(&self, class: ClassId) -> bool {
@@ -207,6 +209,8 @@
 pub enum State {
     /// It takes new work.
     Ready,
+    /// An operator has taken it out: it takes nothing new, and what stands there stays.
+    Out,
     /// It finishes what it has.
     Draining,
     /// It is gone.
@@ -228,6 +232,8 @@
     pub cell: u32,
     /// Listed weight; without a unit.
     pub weight: f64,
+    /// The weight that it is on its way to, where the present one is only a step.
+    pub rises_to: Option<f64>,
     /// When it last started; 0 if long ago.
     pub started_at: Nanos,
 }
@@ -245,6 +251,15 @@
     Failed,
 }
 
+/// The one server that an operator wants a request at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pin {
+    /// Which server; nothing if none of that name was ever listed.
+    pub server: Option<ServerId>,
+    /// Whether it may go nowhere else.
+    pub strict: bool,
+}
+
 /// A request as it reaches this gateway.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Arrival {
@@ -260,6 +275,8 @@
     pub group: Option<GroupId>,
     /// Expected load, in microseconds of work a second.
     pub load: Option<f64>,
+    /// Where an operator wants it.
+    pub pin: Option<Pin>,
 }
 
 /// How an attempt ended.
@@ -356,6 +373,13 @@
     },
     /// The client left; nothing is owed any more.
     ClientLeft(RequestId),
+    /// An operator wants a waiting request elsewhere than before, or nowhere in particular.
+    Pinned {
+        /// The request.
+        request: RequestId,
+        /// Where to.
+        pin: Option<Pin>,
+    },
     /// A timer is due.
     Timer(TimerId),
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,7 @@
 //!     zone: ZoneId(0),
 //!     cell: 0,
 //!     weight: 1.0,
+//!     rises_to: None,
 //!     started_at: 0,
 //! };
 //! balancer.handle(0, Event::List { kind: ListKind::Full, entries: vec![entry] }, &mut actions);
@@ -57,6 +58,7 @@
 //!     key: Some(ClientKey(42)),
 //!     group: None,
 //!     load: None,
+//!     pin: None,
 //! };
 //! balancer.handle(1_000_000, Event::Arrived(arrival), &mut actions);
 //!
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -116,6 +116,7 @@
                 self.books.forget(request);
                 self.serve_queue(now, out);
             }
+            Event::Pinned { request, pin } => self.books.pin(request, pin),
             Event::Timer(timer) => self.on_timer(now, timer, out),
         }
     }
@@ -186,6 +187,10 @@
             return self.give_up(id, out);
         }
         let (timeout, asked) = (self.attempt_timeout(now, request), request.asked);
+        let can_wait = |pin: Pin| !pin.strict || pin.server.is_some_and(|id| self.books.is_ready(id));
+        if !request.arrival.pin.is_none_or(can_wait) {
+            return self.give_up(id, out);
+        }
         if self.books.load_of_all() + self.wanted(request) > self.books.ceiling {
             return self.back_off(now, id, out);
         }
@@ -351,7 +356,18 @@
     /// The next server in turn among those that the rules allow, that are well and that have room. A group's
     /// work is paid once on each server that holds any of it: its connections take its places, not turns.
     fn next_in_turn(&mut self, now: Nanos, id: RequestId) -> Option<ServerId> {
-        let group = self.books.requests.get(&id)?.arrival.group;
+        let request = self.books.requests.get(&id)?;
+        let (group, pin, last) = (request.arrival.group, request.arrival.pin, request.last);
+        if let Some(Pin { server: Some(to), strict }) = pin {
+            // A server that failed a request that may go elsewhere gets it no second time.
+            let well = strict || last != Some(to) && self.books.is_well(now, to);
+            if well && self.first_fit(now, request, [to].into_iter()).is_some() && self.admits(now, to) {
+                return Some(to);
+            }
+        }
+        if pin.is_some_and(|pin| pin.strict) {
+            return None;
+        }
         let hand = group.map(|group| self.hand_of(group));
         let mut passed = Vec::new();
         loop {
@@ -564,7 +580,7 @@
     /// connections to go by, and these last too long for the rotation to make up for a few heavy ones.
     fn even_out(&mut self, out: &mut Vec<Action>) {
         let mean = self.books.load_of_all() / self.tally.weights.max(f64::MIN_POSITIVE);
-        let seen = |server: &Server| (server.entry.server, self.books.load(server), server.weight());
+        let seen = |server: &Server| (server.entry.server, self.books.load(server), server.weight_to_come());
         let loads: Vec<(ServerId, f64, f64)> = self.books.ready().map(seen).collect();
         for &(id, load, weight) in &loads {
             if load <= EVEN_OVER_MEAN * mean * weight {
@@ -576,7 +592,9 @@
                 others.map(|(_, held, weight)| (held + more) / weight).fold(f64::INFINITY, f64::min)
                     < EVEN_GAIN * load / weight
             };
-            let heavy = self.books.heaviest_at(id).into_iter().find(|(more, _)| fits(*more));
+            // Guards against a pinned connection that comes back to the same server and is moved again.
+            let free = |id: &RequestId| self.books.requests[id].arrival.pin.is_none();
+            let heavy = self.books.heaviest_at(id).into_iter().find(|(more, id)| fits(*more) && free(id));
             if let Some((_, moved)) = heavy.filter(|(more, _)| *more >= EVEN_LEAST * load) {
                 out.push(Action::Move(moved));
                 self.books.forget(moved);
@@ -584,10 +602,12 @@
         }
     }
 
-    /// Moves half of what stands on each server that drains or is gone, again and again. Guards against
+    /// Moves half of what stands on each server that drains or is gone, again and again; where an operator
+    /// has taken it out, how its connections are moved is the operator's to say. Guards against
     /// clients that are cut off when their server leaves, and against all of them coming again at once.
     fn empty_leaving(&mut self, out: &mut Vec<Action>) {
-        let leaving = self.books.servers.values().filter(|server| !server.ready);
+        let leaves = |server: &&Server| !server.ready && server.entry.state != State::Out;
+        let leaving = self.books.servers.values().filter(leaves);
         let leaving: Vec<ServerId> = leaving.map(|server| server.entry.server).collect();
         for id in leaving {
             let there = self.books.heaviest_at(id);
--- a/src/state.rs
+++ b/src/state.rs
@@ -315,7 +315,14 @@
             (server.ceiling, server.told, server.asked_cold_at) = (f64::INFINITY, None, now);
         }
         server.ready = entry.state == State::Ready;
+        let (id, before) = (entry.server, server.weight());
         server.entry = entry;
+        // Guards against a server whose weight rises but whose next turn still lies where the old one put it.
+        let (due, after) = (server.due, server.weight());
+        if before != after && self.turns.remove(&(due.to_bits(), id)) {
+            server.due = self.round + (due - self.round).max(0.0) * before / after;
+            self.turns.insert((server.due.to_bits(), id));
+        }
     }
 
     /// The ready servers in a group's own order; worked out once for each list.
@@ -397,6 +404,23 @@
         }
     }
 
+    /// Changes where an operator wants a request.
+    pub(crate) fn pin(&mut self, id: RequestId, pin: Option<Pin>) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.arrival.pin = pin;
+        }
+    }
+
+    /// Whether a server takes new work.
+    pub(crate) fn is_ready(&self, id: ServerId) -> bool {
+        self.servers.get(&id).is_some_and(|server| server.ready)
+    }
+
+    /// Whether a server is not passed over.
+    pub(crate) fn is_well(&self, now: Nanos, id: ServerId) -> bool {
+        self.servers.get(&id).is_some_and(|server| now >= server.shun_until)
+    }
+
     /// Whether a request waits, and for this very timer.
     pub(crate) fn waits_for(&self, id: RequestId, timer: TimerId) -> bool {
         let waits = |request: &Request| request.phase == Phase::Waiting && request.timer == Some(timer);
@@ -611,6 +635,12 @@
         if weight.is_finite() && weight > 0.0 { weight } else { 1.0 }
     }
 
+    /// The weight by which what it holds is judged. Guards against a server that was let back and from which its
+    /// connections are moved since its weight is still on its way.
+    pub(crate) fn weight_to_come(&self) -> f64 {
+        self.entry.rises_to.unwrap_or_else(|| self.weight())
+    }
+
     /// Whether it said, that lately, that it is full.
     pub(crate) fn told_within(&self, now: Nanos, span: Nanos) -> Option<bool> {
         self.told.filter(|told| now < told.at.saturating_add(span)).map(|told| told.full)
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -57,6 +57,7 @@
         zone: ZoneId(server % 2),
         cell: server / 2,
         weight: 1.0,
+        rises_to: None,
         started_at: 0,
     }
 }
@@ -69,6 +70,7 @@
         key: Some(ClientKey(request)),
         group: None,
         load: None,
+        pin: None,
     }
 }
 
