Structured log on tracing: text or JSON, stable fields, audit events; benchmarks of overrides

Need: lines were texts put together by hand, of no use to a program that reads them; overrides' costs were not known.

Change: every line is an event with part, a message that never changes, and fields; [log] form = text or json. The bounded log of refusals keeps its bound. Audit events for overrides and tenants.

--- a/balancer/src/admin/mod.rs
+++ b/balancer/src/admin/mod.rs
@@ -14,10 +14,10 @@
 use beaconflow_settings::Setup;
 use serde::Deserialize;
 use sha2::{Digest, Sha256};
+use tracing::warn;
 
 use self::http::{Reply, Request, Unread};
 use crate::front::nats::tenants::Tenants;
-use crate::log::{self, Level};
 use crate::net;
 use crate::overrides::{Keeper, NamedCore};
 
@@ -52,7 +52,7 @@
             let client = match listener.accept() {
                 Ok((client, _)) => client,
                 Err(error) => {
-                    log::line(Level::Warn, "admin", format_args!("accept: {error}"));
+                    warn!(part = "admin", why = %error, "accept failed");
                     std::thread::sleep(Duration::from_millis(10));
                     continue;
                 }
--- a/balancer/src/admin/tenants.rs
+++ b/balancer/src/admin/tenants.rs
@@ -6,11 +6,11 @@
 use beaconflow_settings::Setup;
 use serde::Deserialize;
 use serde_json::{Value, json};
+use tracing::info;
 
 use super::http::Reply;
 use super::parse;
 use crate::front::nats::tenants::{Identity, StoreError, Tenant, Tenants, hash, is_name};
-use crate::log::{self, Level};
 
 /// Bounds of a password.
 const PASSWORD: std::ops::RangeInclusive<usize> = 12..=256;
@@ -74,7 +74,7 @@
     let secret = hashed(&asked.password)?;
     let Create { name, class, connections, upstream, .. } = asked;
     let made = tenants.create(Tenant { name, secret, class, connections, upstream })?;
-    log::line(Level::Info, "admin", format_args!("tenant {} created", made.name));
+    info!(part = "audit", tenant = made.name, "tenant created");
     Ok(Reply::new(201, shown(&made, &BTreeMap::new())))
 }
 
@@ -87,14 +87,14 @@
         tenant.connections = connections.unwrap_or(tenant.connections);
         tenant.upstream = upstream.unwrap_or_else(|| tenant.upstream.clone());
     })?;
-    log::line(Level::Info, "admin", format_args!("tenant {name} changed"));
+    info!(part = "audit", tenant = name, "tenant changed");
     Ok(Reply::new(200, shown(&changed, &tenants.open())))
 }
 
 /// Removes a tenant.
 pub(super) fn remove((tenants, _): &Here, name: &str) -> Result<Reply, Reply> {
     tenants.remove(name)?;
-    log::line(Level::Info, "admin", format_args!("tenant {name} removed"));
+    info!(part = "audit", tenant = name, "tenant removed");
     Ok(Reply::new(204, Value::Null))
 }
 
@@ -103,7 +103,7 @@
     let asked: Credentials = parse(body)?;
     let secret = hashed(&asked.password)?;
     tenants.change(name, |tenant| tenant.secret = secret)?;
-    log::line(Level::Info, "admin", format_args!("tenant {name}: credentials rotated"));
+    info!(part = "audit", tenant = name, "credentials rotated");
     Ok(Reply::new(204, Value::Null))
 }
 
--- a/balancer/src/core/mod.rs
+++ b/balancer/src/core/mod.rs
@@ -30,10 +30,10 @@
 pub use ledger::Counts;
 use ledger::{Ledger, Place};
 pub use overrides::{InEffect, OverrideChange};
+use tracing::{info, warn};
 
 use crate::clock::{Clock, nanos};
 use crate::farm::{List, News};
-use crate::log::{self, Level};
 
 /// The moves of a planned restart are spread over this. Guards against a herd of clients that all come again at
 /// once and overrun the application servers' set-ups.
@@ -391,11 +391,7 @@
             (false, true) => api::ListKind::Full,
             (false, false) => api::ListKind::Changes,
         };
-        log::line(
-            Level::Info,
-            self.name,
-            format_args!("farm generation={generation} kind={kind:?} entries={count}"),
-        );
+        info!(part = self.name, generation, kind = ?kind, entries = count, "list taken in");
         self.decide(api::Event::List { kind, entries });
         self.follow_overrides();
     }
@@ -420,7 +416,7 @@
         if ended.held {
             let name = self.ledger.get(id).and_then(|transaction| transaction.opening.held_by.as_deref());
             let name = name.unwrap_or_default();
-            log::line(Level::Warn, self.name, format_args!("held connection not up at {name}: {outcome:?}"));
+            warn!(part = self.name, server = name, how = ?outcome, "held connection not up");
             // Guards against a start at which the application server is not reached at the first try.
             return self.wake(HELD_RETRY, Due::Held(id));
         }
@@ -476,13 +472,39 @@
             Due::Moves => self.go_on_moving(),
             Due::Counts => {
                 let look = self.look();
-                let line = format_args!("open={} standing={} {}", look.open, look.standing, look.counts);
-                log::line(Level::Info, self.name, line);
+                self.tell_counts(&look);
                 self.wake(COUNTS_PERIOD, Due::Counts);
             }
         }
     }
 
+    fn tell_counts(&self, look: &Look) {
+        let counts = &look.counts;
+        let [ok, error, full, timed_out, connect_failed, reset, cancelled, not_sent] = counts.ends;
+        info!(
+            part = self.name,
+            open = look.open,
+            standing = look.standing,
+            opened = counts.opened,
+            served = counts.served,
+            unavailable = counts.unavailable,
+            failed = counts.failed,
+            left = counts.left,
+            moved = counts.moved,
+            pinned = counts.pinned,
+            passes = counts.passes,
+            ok,
+            error,
+            full,
+            timed_out,
+            connect_failed,
+            reset,
+            cancelled,
+            not_sent,
+            "counts"
+        );
+    }
+
     // ---- leaving ----
 
     /// Moves all clients, spread over a while; newcomers are answered as they come.
@@ -492,7 +514,7 @@
         }
         self.leaving_since = Some(self.clock.now());
         let standing = self.ledger.standing_ids();
-        log::line(Level::Info, self.name, format_args!("leaving: {} clients to move", standing.len()));
+        info!(part = self.name, clients = standing.len(), "leaving");
         let count = u32::try_from(standing.len().max(1)).unwrap_or(u32::MAX);
         for (at, id) in (0..).zip(standing) {
             self.wake(LEAVE_MOVES * at / count, Due::Move(id));
--- a/balancer/src/core/overrides.rs
+++ b/balancer/src/core/overrides.rs
@@ -8,10 +8,10 @@
 use beaconflow::api::{self, RequestId};
 use beaconflow_overrides::{Id, Millis, Override, Pace};
 use crossbeam_channel::Sender;
+use tracing::{info, warn};
 
 use super::farm::Mark;
 use super::{Core, Due, Order};
-use crate::log::{self, Level};
 
 /// Moves are looked for no more often than this. Guards against a core that is busy with nothing else.
 const LEAST_WAIT: Duration = Duration::from_millis(20);
@@ -91,13 +91,9 @@
         let judgement = self.farm.judge(now);
         if judgement != self.judgement {
             if judgement.is_sound() {
-                log::line(
-                    Level::Info,
-                    self.name,
-                    format_args!("overrides leave a ready server everywhere again"),
-                );
+                info!(part = self.name, "overrides leave a ready server everywhere again");
             } else {
-                log::line(Level::Warn, self.name, format_args!("overrides leave {judgement}"));
+                warn!(part = self.name, what = %judgement, "overrides leave too little");
             }
             self.judgement = judgement;
         }
--- a/balancer/src/core/route.rs
+++ b/balancer/src/core/route.rs
@@ -6,10 +6,10 @@
 
 use beaconflow::Balancer;
 use beaconflow::api::{self, Action};
+use tracing::{error, info};
 
 use super::ledger::Place;
 use super::{Core, Due, Order};
-use crate::log::{self, Level};
 
 impl Core {
     /// Hands an event to the module and carries out what it decides.
@@ -47,7 +47,7 @@
             Action::Probe(_) => {}
             // The watcher lives as long as the program.
             Action::Watch => drop(self.watch.send(())),
-            Action::Log(text) => log::line(Level::Info, self.name, format_args!("module {text}")),
+            Action::Log(text) => info!(part = self.name, says = %text, "word of the module"),
         }
     }
 
@@ -63,7 +63,7 @@
     /// Guards against a module that panicked and left its books half written: a new one takes over what stands,
     /// and what was on its way gets its final answer.
     fn start_anew(&mut self) {
-        log::line(Level::Error, self.name, format_args!("module panicked; a new one takes over"));
+        error!(part = self.name, "module panicked; a new one takes over");
         self.seed = self.seed.wrapping_add(1);
         let Ok(balancer) = Balancer::new(self.settings.clone(), self.seed) else { return };
         self.balancer = balancer;
--- a/balancer/src/farm.rs
+++ b/balancer/src/farm.rs
@@ -7,8 +7,8 @@
 
 use crossbeam_channel::{Receiver, Sender, unbounded};
 use serde::Deserialize;
+use tracing::{info, warn};
 
-use crate::log::{self, Level};
 use crate::net;
 
 /// A connection to discovery that is not up by then counts as failed.
@@ -169,7 +169,7 @@
                     continue;
                 }
                 if let Err(error) = ended {
-                    log::line(Level::Warn, "farm", format_args!("watch ended: {error}"));
+                    warn!(part = "farm", why = %error, "watch ended");
                 }
                 break;
             }
@@ -205,7 +205,7 @@
         );
         stream.write_all(head.as_bytes())?;
         let mut body = Chunked::open(BufReader::new(stream))?;
-        log::line(Level::Info, "farm", format_args!("watch at {discovery} stands from generation {from}"));
+        info!(part = "farm", %discovery, from, "watch stands");
         let mut line = Vec::new();
         loop {
             line.clear();
--- a/balancer/src/front/nats/tenants.rs
+++ b/balancer/src/front/nats/tenants.rs
@@ -13,8 +13,7 @@
 use redis::{Commands, Connection, RedisResult};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
-
-use crate::log::{self, Level};
+use tracing::{info, warn};
 
 /// The hash in the store that holds every tenant's record by name.
 const RECORDS: &str = "beaconflow:tenants";
@@ -314,7 +313,7 @@
         match done {
             Ok((value, connection)) => {
                 if state.away_until.take().is_some() {
-                    log::line(Level::Info, "store", format_args!("back"));
+                    info!(part = "store", "back");
                 }
                 state.connection = Some(connection);
                 Ok(value)
@@ -322,7 +321,7 @@
             Err(error) => {
                 if state.away_until.is_none() {
                     // The kind alone: an error's text may quote what the store was sent.
-                    log::line(Level::Warn, "store", format_args!("away: {:?}", error.kind()));
+                    warn!(part = "store", why = ?error.kind(), "away");
                 }
                 state.away_until = Some(Instant::now() + AWAY);
                 Err(StoreError::Away)
--- a/balancer/src/log.rs
+++ b/balancer/src/log.rs
@@ -1,10 +1,19 @@
-//! The log: one line an event on standard error, `unix-seconds level part message`.
+//! The log: one event a line on standard error, as text for people or as JSON, with fields of stable names.
+//!
+//! Every event has `part`, who speaks, and a message that never changes; what varies stands in its fields. As text a
+//! line is `unix-seconds level part message field=value ...`.
 
-use std::fmt::Arguments;
-use std::io::Write;
+use std::fmt::{self, Debug, Display, Write as _};
+use std::io::Write as _;
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use serde_json::{Map, Value};
+use tracing::field::{Field, Visit};
+use tracing::{Event, Level, Subscriber, warn};
+use tracing_subscriber::layer::{Context, Layer, SubscriberExt as _};
+use tracing_subscriber::registry::LookupSpan;
+
 /// The form of the log's lines.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Form {
@@ -15,30 +24,118 @@
     Json,
 }
 
-/// How much a line matters to the people on call.
-#[derive(Clone, Copy)]
-pub enum Level {
-    /// The ordinary course.
-    Info,
-    /// Something that the balancer coped with.
-    Warn,
-    /// Something that someone has to look at.
-    Error,
+/// Begins the log in a form; it keeps the form that it was first given.
+pub fn start(form: Form) {
+    let lines = tracing_subscriber::registry().with(Lines { form });
+    let _ = tracing::subscriber::set_global_default(lines);
+}
+
+/// Writes events of the program's own crates as lines.
+struct Lines {
+    form: Form,
+}
+
+impl<S: Subscriber + for<'a> LookupSpan<'a>> Layer<S> for Lines {
+    fn enabled(&self, about: &tracing::Metadata<'_>, _: Context<'_, S>) -> bool {
+        *about.level() <= Level::INFO && about.target().starts_with("beaconflow")
+    }
+
+    fn on_event(&self, event: &Event<'_>, _: Context<'_, S>) {
+        let mut told = Told::default();
+        event.record(&mut told);
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let level = match *event.metadata().level() {
+            Level::ERROR => "error",
+            Level::WARN => "warn",
+            _ => "info",
+        };
+        let mut text = match self.form {
+            Form::Text => told.text(now, level),
+            Form::Json => told.json(now, level),
+        };
+        text.push('\n');
+        // A closed standard error is no reason to stop serving.
+        let _ = std::io::stderr().write_all(text.as_bytes());
+    }
+}
+
+/// The fields of an event, in their order.
+#[derive(Default)]
+struct Told {
+    part: String,
+    message: String,
+    fields: Vec<(&'static str, Value)>,
+}
+
+impl Told {
+    fn put(&mut self, field: &Field, value: Value) {
+        let text = |value: Value| match value {
+            Value::String(text) => text,
+            other => other.to_string(),
+        };
+        match field.name() {
+            "part" => self.part = text(value),
+            "message" => self.message = text(value),
+            name => self.fields.push((name, value)),
+        }
+    }
+
+    fn text(&self, now: Duration, level: &str) -> String {
+        let mut line =
+            format!("{}.{:03} {level} {} {}", now.as_secs(), now.subsec_millis(), self.part, self.message);
+        for (name, value) in &self.fields {
+            // Writing to a text does not fail.
+            let _ = match value {
+                Value::String(text) if is_plain(text) => write!(line, " {name}={text}"),
+                value => write!(line, " {name}={value}"),
+            };
+        }
+        line
+    }
+
+    fn json(self, now: Duration, level: &str) -> String {
+        let mut line = Map::new();
+        let time = humantime::format_rfc3339_millis(UNIX_EPOCH + now).to_string();
+        for (name, text) in
+            [("time", time), ("level", level.into()), ("part", self.part), ("message", self.message)]
+        {
+            line.insert(name.into(), text.into());
+        }
+        line.extend(self.fields.into_iter().map(|(name, value)| (name.to_owned(), value)));
+        Value::Object(line).to_string()
+    }
+}
+
+/// Whether a text needs no quotes in a line: it has no space, quote or control character, and is not empty.
+fn is_plain(text: &str) -> bool {
+    !text.is_empty()
+        && !text.chars().any(|letter| letter.is_whitespace() || letter.is_control() || letter == '"')
 }
 
-/// Begins the log in a form.
-pub fn start(_form: Form) {}
-
-/// Writes one line. A closed standard error is no reason to stop serving.
-pub fn line(level: Level, part: &str, message: Arguments<'_>) {
-    let name = match level {
-        Level::Info => "info",
-        Level::Warn => "warn",
-        Level::Error => "error",
-    };
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let text = format!("{}.{:03} {name} {part} {message}\n", now.as_secs(), now.subsec_millis());
-    let _ = std::io::stderr().write_all(text.as_bytes());
+impl Visit for Told {
+    fn record_f64(&mut self, field: &Field, value: f64) {
+        self.put(field, value.into());
+    }
+
+    fn record_i64(&mut self, field: &Field, value: i64) {
+        self.put(field, value.into());
+    }
+
+    fn record_u64(&mut self, field: &Field, value: u64) {
+        self.put(field, value.into());
+    }
+
+    fn record_bool(&mut self, field: &Field, value: bool) {
+        self.put(field, value.into());
+    }
+
+    fn record_str(&mut self, field: &Field, value: &str) {
+        self.put(field, value.into());
+    }
+
+    fn record_debug(&mut self, field: &Field, value: &dyn Debug) {
+        self.put(field, format!("{value:?}").into());
+    }
 }
 
 /// Lines of one kind that are written in a second; the rest is counted. Guards against a log that clients fill at full
@@ -58,12 +155,12 @@
 
 impl Bounded {
     /// Writes a warning, or counts it.
-    pub fn line(&self, part: &str, message: Arguments<'_>) {
+    pub fn warn(&self, part: &str, message: &'static str, why: &dyn Display) {
         self.look(part);
         let mut spell = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         if spell.written < MOST_A_SECOND {
             spell.written += 1;
-            line(Level::Warn, part, message);
+            warn!(part, why = %why, "{message}");
         } else {
             spell.left_out += 1;
         }
@@ -74,9 +171,47 @@
         let mut spell = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         if spell.begun.is_none_or(|begun| begun.elapsed() >= Duration::from_secs(1)) {
             if spell.left_out > 0 {
-                line(Level::Warn, part, format_args!("{} more like these left out", spell.left_out));
+                warn!(part, left_out = spell.left_out, "more like these left out");
             }
             *spell = Spell { begun: Some(Instant::now()), ..Spell::default() };
         }
     }
 }
+
+impl fmt::Debug for Bounded {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Bounded")
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn told() -> Told {
+        Told {
+            part: "audit".into(),
+            message: "override created".into(),
+            fields: vec![
+                ("id", 7.into()),
+                ("who", "ada".into()),
+                ("why", "a \"new\"\nsupply".into()),
+                ("forced", false.into()),
+                ("none", "".into()),
+            ],
+        }
+    }
+
+    #[test]
+    fn a_line_is_one_line_whatever_its_fields_hold() {
+        let now = Duration::from_millis(1_796_129_892_047);
+        let text = told().text(now, "info");
+        assert_eq!(
+            text,
+            "1796129892.047 info audit override created id=7 who=ada why=\"a \\\"new\\\"\\nsupply\" forced=false none=\"\""
+        );
+        let json: Value = serde_json::from_str(&told().json(now, "info")).expect("JSON");
+        assert_eq!((json["id"].as_u64(), json["why"].as_str()), (Some(7), Some("a \"new\"\nsupply")));
+        assert_eq!(json["time"], "2026-12-01T12:58:12.047Z");
+    }
+}
--- a/balancer/src/overrides.rs
+++ b/balancer/src/overrides.rs
@@ -14,10 +14,10 @@
 };
 use beaconflow_store::{Contents, OpenError, OverrideStore, StoreError};
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use tracing::{error, info, warn};
 
 use crate::clock::Clock;
 use crate::core::{Handle, InEffect, Look, OverrideChange};
-use crate::log::{self, Level};
 
 /// The wall clock is compared this often.
 const WALL_PERIOD: Duration = Duration::from_secs(1);
@@ -151,7 +151,7 @@
                 OpenError::System(_) => "can't be opened",
             };
             let note = format!("the store {} {what}: {error}", file.display());
-            log::line(Level::Error, "overrides", format_args!("none are restored or kept: {note}"));
+            error!(part = "overrides", why = note, "none are restored or kept");
             let about = StoreState { kept: false, notes: vec![note] };
             Restored { store: None, about, set: Set::new(config.limits.ramp) }
         }
@@ -190,9 +190,9 @@
         }
     }
     for note in &notes {
-        log::line(Level::Warn, "overrides", format_args!("{note}"));
+        warn!(part = "overrides", what = note, "found at the start");
     }
-    log::line(Level::Info, "overrides", format_args!("restored={holding}"));
+    info!(part = "overrides", restored = holding, "restored");
     Restored { store: Some(store), about: StoreState { kept: true, notes }, set }
 }
 
@@ -413,20 +413,17 @@
         }
         state.told_until = now.max(state.told_until);
         if let Some(step) = state.steps.look(now, (self.wall)()) {
-            log::line(
-                Level::Warn,
-                "overrides",
-                format_args!(
-                    "the wall clock was stepped: ahead_ms={} since the start; overrides keep their spans",
-                    step.ahead_by
-                ),
+            warn!(
+                part = "overrides",
+                ahead_ms = step.ahead_by,
+                "the wall clock was stepped; overrides keep their spans"
             );
             // What is read back after a restart goes by the wall clock as it is then.
             let all: Vec<Override> = state.set.iter().map(|one| shifted(one, step.ahead_by)).collect();
             if let Some(store) = &mut state.store
                 && let Err(error) = store.put(&all)
             {
-                log::line(Level::Error, "overrides", format_args!("{error}"));
+                error!(part = "overrides", why = %error, "not written");
             }
         }
         let spent = state.set.spent(now);
@@ -434,7 +431,7 @@
             if let Some(store) = &mut state.store
                 && let Err(error) = store.forget(&spent)
             {
-                log::line(Level::Error, "overrides", format_args!("{error}"));
+                error!(part = "overrides", why = %error, "not written");
             }
             spent.iter().for_each(|id| drop(state.set.forget(*id)));
             state.by_key.retain(|_, id| !spent.contains(id));
@@ -494,17 +491,18 @@
     fronts.zip(worse).filter(|(_, judgement)| !judgement.is_sound()).collect()
 }
 
-/// A line for whoever asks later who did what.
+/// An event for whoever asks later who did what.
 fn audit(what: &str, one: &Override, now: Millis) {
-    let (kind, left) = (one.kind.name(), one.end().saturating_sub(now) / 1_000);
-    let what = format_args!(
-        "override {what} id={} kind={kind} server={:?} remaining_s={left} revision={} forced={} who={:?} why={:?}",
-        one.id,
-        one.kind.server(),
-        one.revision,
-        one.forced,
-        one.who,
-        one.why
+    info!(
+        part = "audit",
+        id = one.id.0,
+        kind = one.kind.name(),
+        server = one.kind.server(),
+        remaining_s = one.end().saturating_sub(now) / 1_000,
+        revision = one.revision,
+        forced = one.forced,
+        who = one.who,
+        why = one.why,
+        "override {what}"
     );
-    log::line(Level::Info, "audit", what);
 }
--- a/balancer/src/reload.rs
+++ b/balancer/src/reload.rs
@@ -6,11 +6,11 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use tracing::{error, info, warn};
 
 use crate::config::Config;
 use crate::core::{Event, Handle};
 use crate::farm::{News, Target};
-use crate::log::{self, Level};
 use crate::operator::{FarmSource, Nats, Operator};
 
 /// How many descriptors a front's connections may hold; a reload may change it.
@@ -55,22 +55,17 @@
         };
         match changed {
             Ok(Changes { taken, restart }) if taken.is_empty() && restart.is_empty() => {
-                log::line(Level::Info, "reload", format_args!("nothing has changed"));
+                info!(part = "reload", "nothing has changed");
             }
             Ok(Changes { taken, restart }) => {
                 if !taken.is_empty() {
-                    log::line(Level::Info, "reload", format_args!("taken over: {}", taken.join(", ")));
+                    info!(part = "reload", what = taken.join(", "), "taken over");
                 }
                 if !restart.is_empty() {
-                    let names = restart.join(", ");
-                    log::line(
-                        Level::Warn,
-                        "reload",
-                        format_args!("takes a restart, kept as it was: {names}"),
-                    );
+                    warn!(part = "reload", what = restart.join(", "), "takes a restart, kept as it was");
                 }
             }
-            Err(why) => log::line(Level::Error, "reload", format_args!("{why}; what stands is kept")),
+            Err(why) => error!(part = "reload", why, "what stands is kept"),
         }
     }
 
--- a/balancer/src/serve.rs
+++ b/balancer/src/serve.rs
@@ -10,6 +10,7 @@
 use beaconflow_settings::Setup;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGXFSZ};
 use signal_hook::iterator::Signals;
+use tracing::info;
 
 use crate::admin::Admin;
 use crate::clock::Clock;
@@ -19,7 +20,6 @@
 use crate::front::nats::Nats as Front;
 use crate::front::nats::tenants::Tenants;
 use crate::front::platform::Platform;
-use crate::log::{self, Level};
 use crate::net;
 use crate::operator::{self, FarmSource, Nats, Operator};
 use crate::overrides::{self, Keeper, NamedCore};
@@ -99,7 +99,7 @@
                 leaving = true;
                 told.iter().for_each(|core| core.tell(Event::Terminate));
             } else if leaving {
-                log::line(Level::Info, "reload", format_args!("left out: the program is leaving"));
+                info!(part = "reload", "left out: the program is leaving");
             } else {
                 reloads.iter_mut().for_each(Reload::reload);
             }
@@ -111,7 +111,7 @@
         while core.connections() > 0 && Instant::now() < until {
             std::thread::sleep(Duration::from_millis(5));
         }
-        log::line(Level::Info, "main", format_args!("left with {} connections open", core.connections()));
+        info!(part = "main", open = core.connections(), "left");
     }
     Ok(())
 }
@@ -128,7 +128,7 @@
     let (core, thread) = start_core(start, Some(watcher))?;
     let sockets = Sockets::new(config.limits.sockets.into());
     start_front(front, config.listen, Arc::clone(&sockets), &core)?;
-    log::line(Level::Info, "main", format_args!("{} serves on {}", config.name, config.listen));
+    info!(part = "main", front = "platform", name = config.name, on = %config.listen, "serves");
     let reload = Reload::Platform { file: Box::new(file), target, sockets };
     Ok((Serving { front: "platform", core, thread }, reload))
 }
@@ -151,7 +151,7 @@
     let front = Arc::new(Front::new(nats.name.clone(), Arc::clone(&setup), Arc::clone(&tenants), nats.wire));
     let sockets = Sockets::new(nats.sockets.into());
     start_front(front, nats.listen, Arc::clone(&sockets), &core)?;
-    log::line(Level::Info, "main", format_args!("nats on {}", nats.listen));
+    info!(part = "main", front = "nats", name = nats.name, on = %nats.listen, "serves");
     Ok((Serving { front: "nats", core, thread }, NatsParts { tenants, setup, target, sockets }))
 }
 
@@ -167,7 +167,7 @@
     let tenants = nats.map(|nats| (Arc::clone(&nats.tenants), Arc::clone(&nats.setup)));
     let api = Arc::new(Admin::new(cores.to_vec(), Arc::clone(keeper), tenants, &admin.token));
     spawn("admin", move || api.listen(&listener))?;
-    log::line(Level::Info, "main", format_args!("admin on {}", admin.listen));
+    info!(part = "main", on = %admin.listen, "administration API serves");
     Ok(())
 }
 
--- a/balancer/src/stages/take_in.rs
+++ b/balancer/src/stages/take_in.rs
@@ -8,10 +8,11 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
+use tracing::error;
 
 use crate::core::{Counted, Handle};
 use crate::front::{First, Front, NoOpening, Refusal, Word};
-use crate::log::{self, Bounded, Level};
+use crate::log::Bounded;
 use crate::net::{self, Intake, ReadError};
 use crate::pass::Client;
 use crate::reload::Sockets;
@@ -59,7 +60,7 @@
     let refusals = Arc::new(Bounded::default());
     let mut door = Door { front, core, sockets, transactions, refusals, waiting: VecDeque::new() };
     if let Err(error) = listener.set_nonblocking(true) {
-        log::line(Level::Error, front.name(), format_args!("accept: {error}"));
+        error!(part = front.name(), why = %error, "accept failed");
     }
     loop {
         let has_room = door.has_room();
@@ -143,7 +144,7 @@
                 Ok((client, _)) => client,
                 Err(error) if net::is_wait(&error) => return,
                 Err(error) => {
-                    self.refusals.line(self.front.name(), format_args!("accept: {error}"));
+                    self.refusals.warn(self.front.name(), "accept failed", &error);
                     // Guards against a busy loop while there are no descriptors to be had.
                     return std::thread::sleep(Duration::from_millis(10));
                 }
@@ -168,7 +169,7 @@
         if !waiting.refused {
             let _ = net::write_gathered(&waiting.client, &[&self.front.say(Word::Unavailable(None))]);
             net::finish(&waiting.client);
-            self.refusals.line(self.front.name(), format_args!("too many openings: the oldest let go"));
+            self.refusals.warn(self.front.name(), "too many openings", &"the oldest was let go");
         }
     }
 
@@ -187,7 +188,7 @@
                 Heard::Waits => place += 1,
                 Heard::Gone => drop(self.waiting.remove(place)),
                 Heard::Refused(Refusal { answer, why }) => {
-                    self.refusals.line(front.name(), format_args!("opening refused: {why}"));
+                    self.refusals.warn(front.name(), "opening refused", &why);
                     waiting.refuse(&answer);
                     place += 1;
                 }
@@ -205,7 +206,7 @@
         let (_, most) = budget(self.sockets.load(Ordering::Relaxed));
         let unavailable = self.front.say(Word::Unavailable(None));
         let Some(counted) = self.core.count_in(most) else {
-            self.refusals.line(self.front.name(), format_args!("too many connections: one turned away"));
+            self.refusals.warn(self.front.name(), "too many connections", &"one was turned away");
             let _ = net::write_gathered(&client, &[&unavailable]);
             return net::finish(&client);
         };
@@ -219,7 +220,7 @@
         let named = std::thread::Builder::new().name("admit".into()).stack_size(self.front.stack());
         if let Err(error) = named.spawn(run) {
             // The client went with the thread that was not had.
-            self.refusals.line(self.front.name(), format_args!("no thread: {error}"));
+            self.refusals.warn(self.front.name(), "no thread", &error);
         }
     }
 
@@ -234,7 +235,7 @@
                 continue;
             }
             let Refusal { answer, why } = self.front.no_opening(NoOpening::Late);
-            self.refusals.line(self.front.name(), format_args!("opening refused: {why}"));
+            self.refusals.warn(self.front.name(), "opening refused", &why);
             waiting.refuse(&answer);
         }
     }
@@ -251,7 +252,7 @@
     match front.admit(request) {
         Ok((opening, greeting)) => transactions.admit(Admitted { link, opening, greeting, counted }),
         Err(Refusal { answer, why }) => {
-            refusals.line(front.name(), format_args!("opening refused: {why}"));
+            refusals.warn(front.name(), "opening refused", &why);
             link.answer(&answer);
             net::drain(link.stream(), LAST_WORD);
         }
--- a/balancer/src/stages/transaction.rs
+++ b/balancer/src/stages/transaction.rs
@@ -13,10 +13,10 @@
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
+use tracing::{error, warn};
 
 use crate::core::{ApplicationServer, Carrier, Counted, Event, Handle, Opening, Order};
 use crate::front::{Front, Word};
-use crate::log::{self, Level};
 use crate::net::ReadError;
 use crate::pass::{Client, End, PassError};
 use crate::poller::{Bell, EventFlags, Poller};
@@ -335,8 +335,7 @@
         let Err(end) = went else { return };
         self.greeting = None;
         if !matches!(end, End::Served | End::SentAway | End::ClientEnded | End::ClientBroke | End::Moved) {
-            let name = shared.front.name();
-            log::line(Level::Warn, name, format_args!("transaction {} ended: {end:?}", self.id));
+            warn!(part = shared.front.name(), transaction = self.id, how = ?end, "connection ended");
         }
         self.book(&PassError::Standing(end), shared);
         if end == End::ClientEnded {
@@ -379,7 +378,7 @@
     }
 
     fn panicked(&mut self, shared: &Shared<F>) {
-        log::line(Level::Error, shared.front.name(), format_args!("transaction {} panicked", self.id));
+        error!(part = shared.front.name(), transaction = self.id, "transaction panicked");
         shared.core.tell(Event::Lost(self.id));
         self.answer(Word::Failed, shared);
         if !matches!(self.phase, Phase::LastWord(..)) {
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -10,11 +10,12 @@
 use std::path::Path;
 use std::process::ExitCode;
 
-use beaconflow_balancer::log::{self, Level};
+use beaconflow_balancer::log;
 use beaconflow_balancer::operator::Operator;
 use beaconflow_balancer::serve;
 use clap::{CommandFactory, Parser};
 use serde_json::{Value, json};
+use tracing::error;
 
 use crate::api::{Api, Failure};
 use crate::args::{Args, Change, Command, OverrideCommand};
@@ -53,7 +54,7 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::start(Default::default());
-            log::line(Level::Error, "main", format_args!("cannot start: {error}"));
+            error!(part = "main", why = error, "cannot start");
             ExitCode::FAILURE
         }
     }
--- a/overrides/benches/effects.rs
+++ b/overrides/benches/effects.rs
@@ -3,6 +3,8 @@
 use std::hint::black_box;
 use std::time::Duration;
 
+use beaconflow::Balancer;
+use beaconflow::api::*;
 use beaconflow_overrides::{Draft, Id, Kind, Listed, Set, Strictness, Subject, judge};
 use beaconflow_settings::digest;
 use criterion::{BenchmarkId, Criterion};
@@ -29,7 +31,80 @@
     set
 }
 
+/// One connection from its arrival to its end, as the core does it: the pin is looked up, then the module decides.
+fn decision(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("decision");
+    for count in [0, 100, 10_000] {
+        let set = set(count);
+        let mut balancer = Balancer::new(settings(), 7).expect("in range");
+        let mut out = Vec::new();
+        let entries = (0..100).map(entry).collect();
+        balancer.handle(NOW, Event::List { kind: ListKind::Full, entries }, &mut out);
+        let mut next = 0;
+        group.bench_function(BenchmarkId::from_parameter(count), |bencher| {
+            bencher.iter(|| {
+                next += 1;
+                out.clear();
+                let pin = if set.has_pins() { set.pin(Some(next), Some(digest("acme")), NOW) } else { None };
+                let pin = black_box(pin).map(|_| Pin { server: None, strict: false });
+                let request = RequestId(next);
+                let arrival = Arrival {
+                    request,
+                    give_up_at: NOW + 3_000_000_000,
+                    class: ClassId(0),
+                    key: Some(ClientKey(next)),
+                    group: None,
+                    load: None,
+                    pin,
+                };
+                balancer.handle(NOW, Event::Arrived(arrival), &mut out);
+                balancer.handle(NOW, Event::Established { request, attempt: 0 }, &mut out);
+                let ended =
+                    Event::Ended { request, attempt: 0, outcome: Outcome::Served, took: 1, closed: true };
+                balancer.handle(NOW, ended, &mut out);
+                out.len()
+            });
+        });
+    }
+    group.finish();
+}
+
+fn settings() -> Settings {
+    let class =
+        Class { aim: 400_000_000, deadline: 3_000_000_000, repeat: Repeat::Safe, message_aim: 0, worth: 1.0 };
+    Settings {
+        gateways: 1,
+        rank: 0,
+        zone: ZoneId(0),
+        classes: vec![class],
+        discovery: Discovery::Pushed,
+        limits: Limits {
+            max_attempts: 6,
+            retry_after: true,
+            max_retry_after: 2_000_000_000,
+            may_probe: false,
+            connect_timeout: 200_000_000,
+        },
+        rules: Rules { cold_share: 0.2, cold_time: 1, tip_multiple: 3.0, fall_time: 1, ask_within: 0 },
+        prices: Prices::default(),
+    }
+}
+
+fn entry(number: u32) -> Entry {
+    Entry {
+        server: ServerId(number),
+        tag: u64::from(number),
+        state: State::Ready,
+        zone: ZoneId(0),
+        cell: 0,
+        weight: 1.0,
+        rises_to: None,
+        started_at: 0,
+    }
+}
+
 fn benches(criterion: &mut Criterion) {
+    decision(criterion);
     let mut arrivals = criterion.benchmark_group("pin of an arrival");
     for count in [0, 100, 10_000] {
         let set = set(count);
