--- a/balancer/src/admin/farm.rs
+++ b/balancer/src/admin/farm.rs
@@ -47,6 +47,10 @@
         if !look.judgement.is_sound() {
             warnings.push(format!("{}: overrides leave {}", front, look.judgement));
         }
+        if look.overrides_lost {
+            warnings
+                .push(format!("{front}: a fault in the overrides was met; none hold there until a restart"));
+        }
         servers.extend(look.farm.iter().map(|server| row(front, server, &overrides)));
     }
     Ok(Reply::new(200, json!({ "servers": servers, "warnings": warnings })))
--- a/balancer/src/core/admit.rs
+++ b/balancer/src/core/admit.rs
@@ -12,7 +12,8 @@
     /// decision; every other one is the module's.
     pub(super) fn admit(&mut self, id: u64, opening: Opening, orders: Arc<dyn Carrier>) {
         let held = opening.held_by.is_some();
-        let pin = self.farm.pin(opening.group, opening.tenant, self.now_ms());
+        let now = self.now_ms();
+        let pin = self.guarded(|core| core.farm.pin(opening.group, opening.tenant, now)).flatten();
         let arrival = self.ledger.open(id, opening, orders, pin);
         if self.leaving_since.is_some() {
             // Guards against newcomers placed through a program that is about to move them again.
--- a/balancer/src/core/farm.rs
+++ b/balancer/src/core/farm.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
@@ -138,7 +139,7 @@
             rises_to: None,
             started_at: listed.started_at_ms.saturating_mul(1_000_000),
         };
-        let standing = self.overrides.server(&listed.instance_id, now);
+        let standing = self.standing(&listed.instance_id, now);
         if standing != Standing::AS_LISTED {
             self.changed.insert(number);
         }
@@ -159,6 +160,12 @@
         Some(told)
     }
 
+    /// What a server is under the overrides. Guards against a fault in them that would lose a list.
+    fn standing(&self, name: &str, now: Millis) -> Standing {
+        let look = AssertUnwindSafe(|| self.overrides.server(name, now));
+        catch_unwind(look).unwrap_or(Standing::AS_LISTED)
+    }
+
     /// Looks at the overrides anew; gives the entries that are other than the module was told.
     pub(super) fn reconsider(&mut self, now: Millis) -> Vec<Entry> {
         let named = self.overrides.servers().filter_map(|name| self.numbers.get(name).copied());
--- a/balancer/src/core/mod.rs
+++ b/balancer/src/core/mod.rs
@@ -137,6 +137,8 @@
     pub farm: Vec<ServerLook>,
     /// Where the overrides leave no ready server.
     pub judgement: Judgement,
+    /// None hold at this front, since a fault in them was met.
+    pub overrides_lost: bool,
 }
 
 /// The way to the core.
@@ -251,6 +253,14 @@
 
 /// Starts a core on a thread of its own, which ends once it has been told to leave and has left.
 pub fn start(start: Start) -> Result<(Handle, JoinHandle<()>), StartError> {
+    let name = start.name;
+    let (handle, mut core, inbox) = build(start)?;
+    let run = move || core.run(&inbox);
+    let thread = std::thread::Builder::new().name(format!("core-{name}")).spawn(run);
+    Ok((handle, thread.map_err(StartError::Thread)?))
+}
+
+fn build(start: Start) -> Result<(Handle, Core, Receiver<Event>), StartError> {
     let settings = start.setup.module().map_err(StartError::Word)?;
     let (events, inbox) = unbounded();
     let aims = settings.classes.iter().map(|class| class.message_aim).filter(|aim| *aim > 0);
@@ -282,14 +292,10 @@
         moves: BTreeMap::new(),
         judgement: Judgement::default(),
         overrides_due: None,
+        overrides_lost: false,
     };
     core.take_list(start.known, true);
-    let run = move || core.run(&inbox);
-    let thread = std::thread::Builder::new()
-        .name(format!("core-{}", start.name))
-        .spawn(run)
-        .map_err(StartError::Thread)?;
-    Ok((handle, thread))
+    Ok((handle, core, inbox))
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -330,6 +336,8 @@
     judgement: Judgement,
     /// When the overrides are looked at anew, if it has been set.
     overrides_due: Option<Nanos>,
+    /// A fault in the overrides was met; none hold.
+    overrides_lost: bool,
 }
 
 impl Core {
@@ -451,6 +459,7 @@
             standing: standing.values().sum(),
             farm: self.farm.look(&standing),
             judgement: self.judgement.clone(),
+            overrides_lost: self.overrides_lost,
         }
     }
 
--- a/balancer/src/core/overrides.rs
+++ b/balancer/src/core/overrides.rs
@@ -2,13 +2,14 @@
 //!
 //! What holds when is the set's word (`beaconflow-overrides`); here it meets the list, the timers and the books.
 
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 use std::time::Duration;
 
 use beaconflow::api::{self, RequestId};
-use beaconflow_overrides::{Id, Millis, Override, Pace};
+use beaconflow_overrides::{Id, Millis, Override, Pace, Set};
 use crossbeam_channel::Sender;
-use tracing::{info, warn};
+use tracing::{error, info, warn};
 
 use super::farm::Mark;
 use super::{Core, Due, Order};
@@ -38,18 +39,38 @@
         self.clock.now() / 1_000_000
     }
 
+    /// Does something with the overrides. Guards against a fault in them that would end the core and all connections
+    /// with it: from then on none hold at this front, and it is said.
+    pub(super) fn guarded<T>(&mut self, act: impl FnOnce(&mut Core) -> T) -> Option<T> {
+        let done = catch_unwind(AssertUnwindSafe(|| act(self)));
+        if done.is_err() {
+            error!(part = self.name, "overrides panicked; none hold at this front until a restart");
+            self.overrides_lost = true;
+            self.farm.overrides = Set::default();
+            self.moves.clear();
+            let entries = self.farm.reconsider(0);
+            self.decide(api::Event::List { kind: api::ListKind::Changes, entries });
+        }
+        done.ok()
+    }
+
     /// Takes changes over. Whoever asked hears of it once the module has.
     pub(super) fn take_overrides(&mut self, changes: Vec<OverrideChange>, answer: Option<Sender<InEffect>>) {
-        for change in changes {
-            match change {
-                OverrideChange::Put(one) => self.farm.overrides.put(*one),
-                OverrideChange::Forget(ids) => {
-                    ids.into_iter().for_each(|id| drop(self.farm.overrides.forget(id)));
+        if self.overrides_lost {
+            return;
+        }
+        let followed = self.guarded(|core| {
+            for change in changes {
+                match change {
+                    OverrideChange::Put(one) => core.farm.overrides.put(*one),
+                    OverrideChange::Forget(ids) => {
+                        ids.into_iter().for_each(|id| drop(core.farm.overrides.forget(id)));
+                    }
                 }
             }
-        }
-        self.reconsider();
-        if let Some(answer) = answer {
+            core.reconsider();
+        });
+        if let (Some(()), Some(answer)) = (followed, answer) {
             // Nobody waits any more if this fails.
             let _ = answer.try_send(InEffect { out: self.farm.marks_of_out() });
         }
@@ -59,7 +80,7 @@
         if self.overrides_due.is_some_and(|due| due <= self.clock.now()) {
             self.overrides_due = None;
         }
-        self.reconsider();
+        self.guarded(Core::reconsider);
     }
 
     /// Tells the module what the overrides have made of the farm and of the transactions that wait.
@@ -69,11 +90,15 @@
         if !entries.is_empty() {
             self.decide(api::Event::List { kind: api::ListKind::Changes, entries });
         }
-        self.follow_overrides();
+        self.follow();
     }
 
     /// What follows from overrides and list alike: pins, moves, a judgement, and when to look again.
     pub(super) fn follow_overrides(&mut self) {
+        self.guarded(Core::follow);
+    }
+
+    fn follow(&mut self) {
         let now = self.now_ms();
         let farm = &self.farm;
         for (id, pin) in self.ledger.repin(|opening| farm.pin(opening.group, opening.tenant, now)) {
@@ -123,3 +148,98 @@
         self.wake(wait.max(LEAST_WAIT), Due::Moves);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use beaconflow::api::State;
+    use beaconflow_overrides::{Draft, Kind, Strictness, Subject};
+    use beaconflow_settings::digest;
+
+    use super::super::{Start, build};
+    use super::*;
+    use crate::clock::Clock;
+    use crate::farm::List;
+
+    const SETTINGS: &str = r#"{"discovery": "automatic",
+        "lanes": [{"name": "chat", "on-time-ns": 300000000, "hard-limit-ns": 1800000000,
+                   "effect": "retryable", "value": 1.0}],
+        "policy-limits": {"max-attempts": 4},
+        "rules": {"cold-share": 0.2, "cold-ns": 20000000000, "tip-multiple": 3.0, "fall-ns": 1500000000}}"#;
+
+    fn list(text: &str) -> List {
+        let rows = format!(r#"{{"generation":1,"reset":true,"instances":[{text}]}}"#);
+        serde_json::from_str(&rows).expect("a list")
+    }
+
+    fn row(name: &str) -> String {
+        format!(r#"{{"instanceId":"{name}","hostPort":"127.0.0.1:9","lifecycle":"SERVING"}}"#)
+    }
+
+    /// A core with one server and these overrides.
+    fn core(clock: Clock, overrides: Set) -> Core {
+        let setup = serde_json::from_str(SETTINGS).expect("settings");
+        let (known, watch) = (list(&row("s0")), crossbeam_channel::unbounded().0);
+        let start = Start { name: "core", setup, seed: 7, clock, known, watch, overrides };
+        build(start).expect("sound settings").1
+    }
+
+    fn told(core: &Core) -> Vec<State> {
+        core.look().farm.iter().map(|server| server.state.1).collect()
+    }
+
+    #[test]
+    fn a_list_or_a_placement_in_the_instant_of_an_end_finds_it_ended_before_its_timer_fires() {
+        let clock = Clock::start();
+        let now = clock.now() / 1_000_000;
+        let mut overrides = Set::new(0);
+        for (id, kind) in [
+            Kind::Out { server: "s0".into(), moves_per_s: None },
+            Kind::Pin {
+                subject: Subject::Group("north".into()),
+                server: "s0".into(),
+                strictness: Strictness::Strict,
+            },
+        ]
+        .into_iter()
+        .enumerate()
+        {
+            let draft = Draft { kind, who: "ada".into(), why: "why".into(), expires_at: now + 40 };
+            overrides.put(draft.into_override(Id(id as u64 + 1), now));
+        }
+        let mut core = core(clock, overrides);
+        let pin = |core: &Core| core.farm.pin(Some(digest("north")), None, core.now_ms());
+        assert_eq!((told(&core), pin(&core).is_some()), (vec![State::Out], true));
+        // No timer of the core fires here: nobody runs it.
+        while core.now_ms() < now + 40 {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        assert_eq!(pin(&core), None);
+        assert_eq!(told(&core), [State::Out], "it was told so");
+        core.take_list(list(&row("s0")), false);
+        assert_eq!(told(&core), [State::Ready]);
+        core.overrides_are_due();
+        assert_eq!(told(&core), [State::Ready]);
+    }
+
+    #[test]
+    fn a_fault_in_the_overrides_costs_the_overrides_and_not_the_core() {
+        let clock = Clock::start();
+        let mut overrides = Set::new(1_000);
+        let kind = Kind::Out { server: "s0".into(), moves_per_s: Some(1.0) };
+        let now = clock.now() / 1_000_000;
+        let draft = Draft { kind, who: "ada".into(), why: "why".into(), expires_at: now + 60_000 };
+        overrides.put(draft.into_override(Id(1), now));
+        let mut core = core(clock, overrides);
+        assert_eq!(told(&core), [State::Out]);
+        assert!(!core.moves.is_empty() && core.judgement.whole_farm);
+        assert_eq!(core.guarded(|_| -> u8 { panic!("a fault") }), None);
+        assert_eq!(told(&core), [State::Ready], "as it is listed");
+        assert!(core.look().overrides_lost && core.moves.is_empty());
+        // What comes later is not followed, and whoever waits for it is not told that it is.
+        let (answer, told_of) = crossbeam_channel::bounded(1);
+        core.take_overrides(vec![OverrideChange::Forget(vec![Id(1)])], Some(answer));
+        assert!(told_of.try_recv().is_err());
+        core.take_list(list(&[row("s0"), row("s1")].join(",")), false);
+        assert_eq!(told(&core), [State::Ready, State::Ready]);
+    }
+}
--- a/balancer/src/overrides.rs
+++ b/balancer/src/overrides.rs
@@ -4,6 +4,7 @@
 //! a step of it moves neither the end of an override that holds nor that of one that is read back.
 
 use std::collections::HashMap;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::PathBuf;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -392,7 +393,11 @@
     /// the program runs.
     pub fn run(&self) {
         loop {
-            let next = self.look_after();
+            // Guards against a fault that would end this thread, and with it every word of what expires.
+            let next = catch_unwind(AssertUnwindSafe(|| self.look_after())).unwrap_or_else(|_| {
+                error!(part = "overrides", "housekeeping panicked; it goes on");
+                None
+            });
             let wait = next.map_or(WALL_PERIOD, |at| {
                 Duration::from_millis(at.saturating_sub(self.now()).max(1)).min(WALL_PERIOD)
             });
--- a/cli/tests/commands.rs
+++ b/cli/tests/commands.rs
@@ -8,7 +8,7 @@
 
 /// A program with an administration API and one server that stands in its file.
 struct Site {
-    _program: Program,
+    program: Program,
     api: String,
     token: String,
     folder: tempfile::TempDir,
@@ -36,7 +36,7 @@
         let text = |path: &std::path::Path| path.to_str().expect("text").to_owned();
         let program = Program::start(&["--operator", &text(&operator)], &[("LB_CONFIG", &text(&config))]);
         program.says("administration API serves");
-        Site { _program: program, api: admin.to_string(), token: text(&token), folder }
+        Site { program, api: admin.to_string(), token: text(&token), folder }
     }
 
     /// Runs a command against the API.
@@ -77,6 +77,14 @@
     let add =
         ["override", "add", "weight", "s0", "0.25", "--for", "1h 30m", "--who", "ada", "--why", "slow disk"];
     let added = site.prints(&add);
+    // The log is JSON here, with fields of stable names.
+    let line: serde_json::Value = serde_json::from_str(&site.program.says("override created")).expect("JSON");
+    assert_eq!((line["part"].as_str(), line["level"].as_str()), (Some("audit"), Some("info")), "{line}");
+    assert_eq!((line["who"].as_str(), line["why"].as_str()), (Some("ada"), Some("slow disk")), "{line}");
+    assert!(
+        line["id"] == 1 && line["remaining_s"].as_u64().is_some_and(|left| (5_399..=5_400).contains(&left)),
+        "{line}"
+    );
     assert!(added.contains("weight s0 x 0.25") && added.contains("in effect"), "{added}");
     let pinned =
         ["override", "add", "pin", "s1", "--group", "north", "--strict", "--for", "90s", "--who", "ada"];
--- a/cli/tests/nats.rs
+++ b/cli/tests/nats.rs
@@ -413,3 +413,64 @@
     let mut other = support::nats::client(site.at, "third", "once", PASSWORD);
     other.hears("PONG");
 }
+
+#[test]
+fn an_override_on_this_front_expires_outlives_list_changes_and_a_restart() {
+    let mut site = Site::start("override-life");
+    let (one, other) = (site.server("one", Manner::Serve), site.server("other", Manner::Serve));
+    let mut watch = site.discovery.watch();
+    tell(&mut watch, 1, true, &rows(&[(&one, "SERVING"), (&other, "SERVING")]));
+    site.program.says("generation=1");
+    let out = |seconds: f64| {
+        format!(r#"{{"kind":"out","server":"one","who":"ada","why":"test","expires_in_s":{seconds}}}"#)
+    };
+    let mut standing = Vec::new();
+    let mut next = 0;
+    // Where so many clients go: passes at the server that is out, of all that are made.
+    let mut open = |site: &Site, count: usize| -> usize {
+        let mut there = 0;
+        for _ in 0..count {
+            next += 1;
+            let name = format!("client-{next}");
+            let mut client = site.client(&name);
+            assert_eq!(site.answer(&name, &mut client), "PONG");
+            there += usize::from(site.record.lock().expect("sound").went(&name, "one"));
+            standing.push(client);
+        }
+        there
+    };
+    // It expires by itself.
+    let id = site.api.add(&out(0.8));
+    assert_eq!(open(&site, 3), 0);
+    let said = site.program.says(&format!("override expired id={id}"));
+    assert!(said.contains("who=ada"), "{said}");
+    let until = Instant::now() + PATIENCE;
+    while site.api.server("one")["effective"]["weight"] != 1.0 {
+        assert!(Instant::now() < until, "its weight never came back");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    assert!(open(&site, 3) > 0, "it is back");
+    // It leaves the list and comes back under its name, elsewhere.
+    site.api.add(&out(60.0));
+    tell(&mut watch, 2, false, &rows(&[(&one, "DELETED")]));
+    site.program.says("generation=2");
+    assert_eq!(site.api.overrides()[0]["effects"]["nats"], "server not listed");
+    let moved = site.server("one", Manner::Serve);
+    tell(&mut watch, 3, false, &rows(&[(&moved, "SERVING")]));
+    site.program.says("generation=3");
+    assert_eq!(site.api.overrides()[0]["effects"]["nats"], "in effect");
+    assert_eq!(open(&site, 3), 0);
+    // A restart brings it back with its own end; the list comes after it, and nothing slips in between.
+    let before = site.api.overrides()[0]["expires_at"].clone();
+    site.program.signal("TERM");
+    assert!(site.program.left(), "it leaves by itself");
+    site.program = Program::start(&["--operator", &site.path], &[]);
+    site.program.says("restored=1");
+    site.program.says("administration API serves");
+    let mut watch = site.discovery.watch();
+    tell(&mut watch, 4, true, &rows(&[(&moved, "SERVING"), (&other, "SERVING")]));
+    site.program.says("generation=4");
+    assert_eq!(site.api.overrides()[0]["expires_at"], before);
+    assert_eq!(open(&site, 3), 0);
+    site.check();
+}
--- a/cli/tests/overrides.rs
+++ b/cli/tests/overrides.rs
@@ -619,7 +619,8 @@
 
 #[test]
 fn there_are_as_many_as_may_be_and_no_more() {
-    let site = Site::set_up(1, "most = 3\nlongest_s = 10");
+    // Without a ramp what comes back is back at once.
+    let site = Site::set_up(1, "most = 3\nlongest_s = 10\nramp_s = 0");
     for number in 0..3 {
         site.api.add(&out(&format!("x{number}"), 9.0));
     }
--- a/cli/tests/support/nats.rs
+++ b/cli/tests/support/nats.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// Whether a client had a pass at a server.
+    pub fn went(&self, client: &str, server: &str) -> bool {
+        self.passes.iter().any(|pass| pass.client == client && pass.server == server)
+    }
+
     pub fn passes_of(&self, client: &str) -> usize {
         self.passes.iter().filter(|pass| pass.client == client).count()
     }
--- a/overrides/benches/effects.rs
+++ b/overrides/benches/effects.rs
@@ -34,18 +34,19 @@
 /// One connection from its arrival to its end, as the core does it: the pin is looked up, then the module decides.
 fn decision(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("decision");
+    group.measurement_time(Duration::from_secs(5));
     for count in [0, 100, 10_000] {
         let set = set(count);
         let mut balancer = Balancer::new(settings(), 7).expect("in range");
         let mut out = Vec::new();
         let entries = (0..100).map(entry).collect();
         balancer.handle(NOW, Event::List { kind: ListKind::Full, entries }, &mut out);
-        let mut next = 0;
+        let (mut next, tenant) = (0, digest("acme"));
         group.bench_function(BenchmarkId::from_parameter(count), |bencher| {
             bencher.iter(|| {
                 next += 1;
                 out.clear();
-                let pin = if set.has_pins() { set.pin(Some(next), Some(digest("acme")), NOW) } else { None };
+                let pin = if set.has_pins() { set.pin(Some(next), Some(tenant), NOW) } else { None };
                 let pin = black_box(pin).map(|_| Pin { server: None, strict: false });
                 let request = RequestId(next);
                 let arrival = Arrival {
--- a/overrides/src/set.rs
+++ b/overrides/src/set.rs
@@ -2,9 +2,11 @@
 
 use std::borrow::Borrow;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::hash::Hash;
+use std::hash::{BuildHasher, Hash};
+use std::ops::Bound;
 
 use beaconflow_settings::digest;
+use rustc_hash::FxHashMap;
 
 use crate::effect::Standing;
 use crate::kind::{Id, Kind, Override, Strictness, Subject};
@@ -33,8 +35,8 @@
     all: BTreeMap<Id, Override>,
     /// Those that concern a server itself, by its name.
     by_server: HashMap<String, Vec<Id>>,
-    by_group: HashMap<u64, Vec<Id>>,
-    by_tenant: HashMap<u64, Vec<Id>>,
+    by_group: FxHashMap<u64, Vec<Id>>,
+    by_tenant: FxHashMap<u64, Vec<Id>>,
     /// Every moment at which one begins or ends.
     bounds: BTreeSet<(Millis, Id)>,
     ramp: Millis,
@@ -153,7 +155,7 @@
 
     /// Where an arrival goes, by the hashes of its group and tenant. The group's pin comes first: it says more.
     pub fn pin(&self, group: Option<u64>, tenant: Option<u64>, now: Millis) -> Option<Pin<'_>> {
-        let of = |map: &HashMap<u64, Vec<Id>>, key: Option<u64>| self.latest(map.get(&key?)?, now);
+        let of = |map: &FxHashMap<u64, Vec<Id>>, key: Option<u64>| self.latest(map.get(&key?)?, now);
         let id = of(&self.by_group, group).or_else(|| of(&self.by_tenant, tenant))?;
         match &self.all[&id].kind {
             Kind::Pin { server, strictness, .. } => Some(Pin { id, server, strictness: *strictness }),
@@ -164,7 +166,8 @@
     /// The next moment at which anything that this set says changes by itself.
     pub fn next_change(&self, now: Millis) -> Option<Millis> {
         let next = self.bounds.range((now.saturating_add(1), Id(0))..).next().map(|(at, _)| *at);
-        let felt = (now.saturating_sub(self.ramp).saturating_add(1), Id(0))..=(now, Id(u64::MAX));
+        let felt = (now.saturating_sub(self.ramp), Id(u64::MAX));
+        let felt = (Bound::Excluded(felt), Bound::Included((now, Id(u64::MAX))));
         let rises = |id: &Id| match &self.all[id].kind {
             Kind::Out { server, .. } | Kind::Weight { server, .. } => {
                 let standing = self.standing(&self.by_server[server], now);
@@ -172,7 +175,9 @@
             }
             Kind::Pin { .. } => false,
         };
-        let steps = self.bounds.range(felt).filter(|(_, id)| rises(id));
+        // Without a ramp nothing is felt, and a range that begins behind its end would be a panic.
+        let felt = (self.ramp > 0).then(|| self.bounds.range(felt));
+        let steps = felt.into_iter().flatten().filter(|(_, id)| rises(id));
         let steps = steps.map(|(at, _)| next_step(*at, now, self.ramp));
         next.into_iter().chain(steps).min()
     }
@@ -251,10 +256,11 @@
 }
 
 /// Takes an override out of those of a name, and the name with the last of them.
-fn strike<K, Q>(map: &mut HashMap<K, Vec<Id>>, key: &Q, id: Id)
+fn strike<K, Q, S>(map: &mut HashMap<K, Vec<Id>, S>, key: &Q, id: Id)
 where
     K: Hash + Eq + Borrow<Q>,
     Q: Hash + Eq + ?Sized,
+    S: BuildHasher,
 {
     if let Some(ids) = map.get_mut(key) {
         ids.retain(|other| *other != id);
--- a/overrides/tests/model.rs
+++ b/overrides/tests/model.rs
@@ -6,19 +6,22 @@
 use beaconflow_settings::digest;
 use proptest::prelude::*;
 
-/// Short, so that the model can walk through all of it.
-const RAMP: Millis = 40;
+/// Short, so that the model can walk through all of it; none at all is a ramp too.
+const RAMPS: [Millis; 4] = [0, 1, 7, 40];
 const END: Millis = 400;
 const SERVERS: [&str; 3] = ["a", "b", "c"];
 const NAMES: [&str; 3] = ["north", "south", "west"];
 
 /// Everything that was ever entered, as it is now.
-#[derive(Clone, Default)]
-struct Model(Vec<Override>);
+#[derive(Clone)]
+struct Model {
+    all: Vec<Override>,
+    ramp: Millis,
+}
 
 impl Model {
     fn latest(&self, at: Millis, fits: impl Fn(&Override) -> bool) -> Option<&Override> {
-        self.0.iter().filter(|one| one.holds(at) && fits(one)).max_by_key(|one| one.id)
+        self.all.iter().filter(|one| one.holds(at) && fits(one)).max_by_key(|one| one.id)
     }
 
     fn winner(&self, server: &str, at: Millis) -> Option<&Override> {
@@ -42,10 +45,10 @@
             return Standing { out: true, factor: 0.0, to: 0.0 };
         }
         let mut factor = to;
-        for at in (now.saturating_sub(RAMP - 1)).max(1)..=now {
+        for at in (now + 1).saturating_sub(self.ramp).max(1)..=now {
             let before = self.target(server, at - 1);
             if before < to {
-                let steps = ((now - at) * 20 / RAMP) as f64;
+                let steps = ((now - at) * 20 / self.ramp) as f64;
                 factor = factor.min(before + (to - before) * (steps / 20.0));
             }
         }
@@ -114,7 +117,7 @@
 }
 
 fn limits() -> Limits {
-    Limits { longest: 1_000, most: 100, ramp: RAMP }
+    Limits { longest: 1_000, most: 100, ramp: 0 }
 }
 
 /// The set's own view of all that the model sees.
@@ -135,20 +138,20 @@
             draft.check(now, &limits()).expect("a sound draft");
             let one = draft.into_override(Id(*next), now);
             *next += 1;
-            model.0.push(one.clone());
+            model.all.push(one.clone());
             set.put(one);
         }
-        Deed::Extend(at, span) if !model.0.is_empty() => {
-            let at = at % model.0.len();
-            let one = &mut model.0[at];
+        Deed::Extend(at, span) if !model.all.is_empty() => {
+            let at = at % model.all.len();
+            let one = &mut model.all[at];
             if one.holds(now) {
                 one.extend(now + span, now, &limits()).expect("in range");
                 set.put(one.clone());
             }
         }
-        Deed::Remove(at) if !model.0.is_empty() => {
-            let at = at % model.0.len();
-            let one = &mut model.0[at];
+        Deed::Remove(at) if !model.all.is_empty() => {
+            let at = at % model.all.len();
+            let one = &mut model.all[at];
             if one.holds(now) {
                 one.remove(now);
                 set.put(one.clone());
@@ -158,13 +161,13 @@
         Deed::Restart => {
             let mut records: Vec<Override> = set.iter().cloned().collect();
             records.reverse();
-            *set = Set::new(RAMP);
+            *set = Set::new(model.ramp);
             records.into_iter().for_each(|one| set.put(one));
         }
         Deed::Prune => {
             for id in set.spent(now) {
                 let gone = set.forget(id).expect("it was there");
-                assert!(gone.end() + RAMP <= now, "still felt");
+                assert!(gone.end() + model.ramp <= now, "still felt");
             }
         }
         Deed::Extend(..) | Deed::Remove(_) => {}
@@ -175,8 +178,8 @@
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(120) })]
 
     #[test]
-    fn any_sequence_is_seen_as_the_model_sees_it_at_every_moment(deeds in deeds()) {
-        let (mut set, mut model, mut next) = (Set::new(RAMP), Model::default(), 1);
+    fn any_sequence_is_seen_as_the_model_sees_it_at_every_moment(deeds in deeds(), ramp in prop::sample::select(RAMPS.as_slice())) {
+        let (mut set, mut model, mut next) = (Set::new(ramp), Model { all: Vec::new(), ramp }, 1);
         let mut by_time: BTreeMap<Millis, Vec<Deed>> = BTreeMap::new();
         for (at, deed) in deeds {
             by_time.entry(at).or_default().push(deed);
@@ -205,8 +208,12 @@
     }
 
     #[test]
-    fn ends_are_told_once_and_none_is_missed(deeds in deeds(), stride in 1..90_u64) {
-        let (mut set, mut model, mut next) = (Set::new(RAMP), Model::default(), 1);
+    fn ends_are_told_once_and_none_is_missed(
+        deeds in deeds(),
+        stride in 1..90_u64,
+        ramp in prop::sample::select(RAMPS.as_slice()),
+    ) {
+        let (mut set, mut model, mut next) = (Set::new(ramp), Model { all: Vec::new(), ramp }, 1);
         for (at, deed) in deeds {
             if !matches!(deed, Deed::Prune) {
                 act(&mut set, &mut model, &mut next, at, deed);
@@ -219,13 +226,14 @@
             from += stride;
         }
         told.sort();
-        let all: Vec<Id> = model.0.iter().map(|one| one.id).collect();
+        let all: Vec<Id> = model.all.iter().map(|one| one.id).collect();
         prop_assert_eq!(told, all);
     }
 
     #[test]
     fn a_judgement_names_the_places_without_a_server(deeds in deeds(), zones in prop::collection::vec(0..2_usize, 3)) {
-        let (mut set, mut model, mut next) = (Set::new(RAMP), Model::default(), 1);
+        let ramp = 40;
+        let (mut set, mut model, mut next) = (Set::new(ramp), Model { all: Vec::new(), ramp }, 1);
         for (at, deed) in deeds {
             act(&mut set, &mut model, &mut next, at, deed);
         }
