--- a/cli/tests/support/mod.rs
+++ b/cli/tests/support/mod.rs
@@ -326,6 +326,16 @@
         answer.body["id"].as_u64().expect("a number")
     }
 
+    /// Has an override end very soon; gives the moment, in Unix seconds. A story that gave it a short life from the
+    /// start would race with a loaded machine.
+    pub fn shorten(&self, id: u64) -> f64 {
+        let answer = self.call("PATCH", &format!("/v1/overrides/{id}"), r#"{"expires_in_s":0.05}"#);
+        assert_eq!(answer.status, 200, "{}", answer.body);
+        let at =
+            humantime::parse_rfc3339(answer.body["expires_at"].as_str().expect("a time")).expect("RFC 3339");
+        at.duration_since(std::time::UNIX_EPOCH).expect("after 1970").as_secs_f64()
+    }
+
     /// Every override that holds, by number.
     pub fn overrides(&self) -> Vec<serde_json::Value> {
         let answer = self.call("GET", "/v1/overrides", "");
