Fair queues at the door as a package of their own; the module's log tells the line's length

Need: fair admission comes next, and its design is begun.

The module's line for people in trouble now has how many wait for the window, the set-ups under way and the window, for the traces that the direction begins with.

--- /dev/null
+++ b/admission/src/slab.rs
@@ -0,0 +1,91 @@
+//! Entries in one block of memory, linked into queues, so that any of them leaves at a fixed cost.
+
+use crate::door::Entry;
+
+/// A place in the slab.
+pub(crate) type Place = u32;
+
+const NONE: Place = Place::MAX;
+
+struct Node {
+    entry: Entry,
+    queue: u32,
+    before: Place,
+    after: Place,
+}
+
+/// A queue's ends and its length.
+#[derive(Clone, Copy)]
+pub(crate) struct Queue {
+    first: Place,
+    last: Place,
+    pub(crate) length: u32,
+}
+
+impl Queue {
+    pub(crate) const EMPTY: Queue = Queue { first: NONE, last: NONE, length: 0 };
+}
+
+/// All entries of all queues.
+pub(crate) struct Slab {
+    nodes: Vec<Option<Node>>,
+    free: Vec<Place>,
+    pub(crate) queues: Vec<Queue>,
+}
+
+impl Slab {
+    pub(crate) fn new(queues: usize) -> Slab {
+        Slab { nodes: Vec::new(), free: Vec::new(), queues: vec![Queue::EMPTY; queues] }
+    }
+
+    pub(crate) fn push(&mut self, queue: usize, entry: Entry) -> Place {
+        let before = self.queues[queue].last;
+        let node = Node { entry, queue: queue as u32, before, after: NONE };
+        let place = match self.free.pop() {
+            Some(place) => {
+                self.nodes[place as usize] = Some(node);
+                place
+            }
+            None => {
+                self.nodes.push(Some(node));
+                (self.nodes.len() - 1) as Place
+            }
+        };
+        match self.node(before) {
+            Some(last) => last.after = place,
+            None => self.queues[queue].first = place,
+        }
+        self.queues[queue].last = place;
+        self.queues[queue].length += 1;
+        place
+    }
+
+    pub(crate) fn first(&self, queue: usize) -> Option<Place> {
+        Some(self.queues[queue].first).filter(|place| *place != NONE)
+    }
+
+    pub(crate) fn last(&self, queue: usize) -> Option<Place> {
+        Some(self.queues[queue].last).filter(|place| *place != NONE)
+    }
+
+    /// Takes an entry out; gives it and the queue that it stood in.
+    pub(crate) fn remove(&mut self, place: Place) -> Option<(Entry, usize)> {
+        let Node { entry, queue, before, after } = self.nodes.get_mut(place as usize)?.take()?;
+        let queue = queue as usize;
+        match self.node(before) {
+            Some(node) => node.after = after,
+            None => self.queues[queue].first = after,
+        }
+        match self.node(after) {
+            Some(node) => node.before = before,
+            None => self.queues[queue].last = before,
+        }
+        self.queues[queue].length -= 1;
+        self.free.push(place);
+        Some((entry, queue))
+    }
+
+    fn node(&mut self, place: Place) -> Option<&mut Node> {
+        self.nodes.get_mut(place as usize)?.as_mut()
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -299,11 +299,14 @@
         let (ready, refused) = (tally.ready, tally.refused);
         let strained = self.ready().filter(|server| server.strained_within(now, LOG_STRAIN)).count();
         let failing = self.ready().filter(|server| server.strikes >= LOG_STRIKES).count();
-        if strained == 0 && failing == 0 && refused == 0 {
+        // Whether the line at the door is what holds requests up.
+        let (waiting, out, window) = (self.queue.len(), self.out, tally.window.get());
+        if strained == 0 && failing == 0 && refused == 0 && waiting == 0 {
             return None;
         }
         tally.refused = 0;
-        Some(format!("ready {ready}, strained {strained}, failing {failing}, refused {refused}"))
+        let door = format!("waiting {waiting}, under way {out} of {window:.0}");
+        Some(format!("ready {ready}, strained {strained}, failing {failing}, refused {refused}, {door}"))
     }
 
     /// Takes a list entry in. What was held against a process that has started anew is forgotten.
