Overrides that ended while no program ran leave the store at the next start

Cause, found on reading the change again: what a start found spent was neither kept in memory nor forgotten on the disk, so the file grew with every override that ended during a stop, and no audit event told of its end.

Change: the start forgets them and says `override found expired`. Also: GET /v1/farm looks overrides up by server and no longer walks all of them for each one; a change asks the cores for their farms only where it is judged; a list change no longer looks pins up for connections that stand; an unused form of the counts is gone.

--- a/balancer/src/admin/farm.rs
+++ b/balancer/src/admin/farm.rs
@@ -1,6 +1,6 @@
 //! The farm and the counts, over the administration API.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use beaconflow::api::State;
@@ -41,6 +41,10 @@
 /// Every listed server, as it is listed and as the decisions see it, and why the two differ.
 pub(super) fn farm(cores: &[NamedCore], keeper: &Keeper) -> Result<Reply, Reply> {
     let overrides = keeper.list();
+    let mut by_server: HashMap<&str, Vec<&Shown>> = HashMap::new();
+    for shown in &overrides {
+        by_server.entry(shown.one.kind.server()).or_default().push(shown);
+    }
     let (mut servers, mut warnings) = (Vec::new(), Vec::new());
     for core @ (front, _) in cores {
         let look = look(core)?;
@@ -51,25 +55,27 @@
             warnings
                 .push(format!("{front}: a fault in the overrides was met; none hold there until a restart"));
         }
-        servers.extend(look.farm.iter().map(|server| row(front, server, &overrides)));
+        servers
+            .extend(look.farm.iter().map(|server| row(front, server, by_server.get(server.name.as_str()))));
     }
     Ok(Reply::new(200, json!({ "servers": servers, "warnings": warnings })))
 }
 
-fn row(front: &str, server: &ServerLook, overrides: &[Shown]) -> Value {
-    let about = overrides.iter().filter(|shown| shown.one.kind.server() == server.name);
+fn row(front: &str, server: &ServerLook, about: Option<&Vec<&Shown>>) -> Value {
     let holds = |shown: &&Shown| {
         let effect = shown.effects.iter().find(|(at, _)| *at == front);
         effect.is_some_and(|(_, effect)| *effect == beaconflow_overrides::Effect::InEffect)
     };
-    let why: Vec<String> = about
+    let mut why: Vec<String> = about
+        .into_iter()
+        .flatten()
+        .copied()
         .filter(holds)
         .map(|shown| {
             let (one, left) = (&shown.one, shown.remaining / 1_000);
             format!("override {} ({}, {left} s left): {}", one.id, one.kind.name(), one.why)
         })
         .collect();
-    let mut why = why;
     if why.is_empty() && server.state.0 == server.state.1 && server.weight.0 != server.weight.1 {
         why.push("its weight is on its way back after an override".into());
     }
--- a/balancer/src/core/ledger.rs
+++ b/balancer/src/core/ledger.rs
@@ -1,7 +1,6 @@
 //! The books: each open transaction with its orders' channel, and what has been counted.
 
 use std::collections::BTreeMap;
-use std::fmt;
 use std::sync::Arc;
 
 use beaconflow::api::{Arrival, ClassId, ClientKey, GroupId, Nanos, Outcome, Pin, RequestId, ServerId};
@@ -75,15 +74,6 @@
     }
 }
 
-impl fmt::Display for Counts {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "opened={} served={} unavailable={}", self.opened, self.served, self.unavailable)?;
-        write!(f, " failed={} left={} moved={}", self.failed, self.left, self.moved)?;
-        write!(f, " pinned={} passes={}", self.pinned, self.passes)?;
-        self.ends().filter(|(_, count)| *count > 0).try_for_each(|(name, count)| write!(f, " {name}={count}"))
-    }
-}
-
 /// All open transactions.
 #[derive(Default)]
 pub(super) struct Ledger {
@@ -203,8 +193,11 @@
     pub(super) fn repin(&mut self, pin: impl Fn(&Opening) -> Option<Pin>) -> Vec<(u64, Option<Pin>)> {
         let mut changed = Vec::new();
         for (id, transaction) in &mut self.open {
+            if !matches!(transaction.place, Place::Waiting | Place::Out(_)) {
+                continue;
+            }
             let now = pin(&transaction.opening);
-            if matches!(transaction.place, Place::Waiting | Place::Out(_)) && transaction.pin != now {
+            if transaction.pin != now {
                 transaction.pin = now;
                 changed.push((*id, now));
             }
--- a/balancer/src/overrides.rs
+++ b/balancer/src/overrides.rs
@@ -160,7 +160,12 @@
 }
 
 /// Takes back what a store held.
-fn take_back(store: Box<dyn OverrideStore>, contents: Contents, config: &Config, now: Millis) -> Restored {
+fn take_back(
+    mut store: Box<dyn OverrideStore>,
+    contents: Contents,
+    config: &Config,
+    now: Millis,
+) -> Restored {
     let mut notes = Vec::new();
     if let Some((aside, why)) = contents.kept_aside {
         notes.push(format!(
@@ -172,7 +177,7 @@
         notes.push(format!("records that can't be read were left out: {:?}", contents.unreadable));
     }
     let mut set = Set::new(config.limits.ramp);
-    let mut holding = 0;
+    let (mut holding, mut spent) = (0, Vec::new());
     for mut one in contents.overrides {
         let (expires_at, cut) = bounded_expiry(&one, now);
         if let Some(cut) = cut {
@@ -185,11 +190,20 @@
         }
         (one.created_at, one.expires_at) = (one.created_at.min(now), expires_at);
         one.removed_at = one.removed_at.map(|at| at.min(now));
+        if one.removed_at.is_none() && !one.holds(now) {
+            audit("found expired", &one, now);
+        }
         if one.end().saturating_add(config.limits.ramp) > now {
             holding += usize::from(one.holds(now));
             set.put(one);
+        } else {
+            spent.push(one.id);
         }
     }
+    // Guards against a file that grows with every override that ended while no program ran.
+    if let Err(error) = store.forget(&spent) {
+        error!(part = "overrides", why = %error, "not written");
+    }
     for note in &notes {
         warn!(part = "overrides", what = note, "found at the start");
     }
@@ -280,7 +294,6 @@
 
     /// Enters an override.
     pub fn add(&self, draft: Draft, force: bool, replay: Option<Replay>) -> Result<Changed, Refused> {
-        let looks = self.looks();
         let mut state = self.lock();
         let now = self.now();
         if let Some(id) = replay.as_ref().and_then(|replay| state.by_key.get(&replay.key)).copied()
@@ -301,7 +314,7 @@
         let mut one = draft.into_override(store.next_id(), now);
         (one.forced, one.replay) = (force, replay);
         if matches!(one.kind, Kind::Out { .. }) && !force {
-            let empty = leaves_none(&mut state.set, &one, &looks, now);
+            let empty = leaves_none(&mut state.set, &one, &self.looks(), now);
             if !empty.is_empty() {
                 return Err(Refused::LeavesNone(empty));
             }
--- a/balancer/tests/keeper.rs
+++ b/balancer/tests/keeper.rs
@@ -144,6 +144,24 @@
     assert!(keeper.list().is_empty());
 }
 
+#[test]
+fn what_ended_while_no_program_ran_leaves_the_file_at_the_next_start() {
+    let desk = Desk::new();
+    let file = desk.config().file.expect("set");
+    let (mut store, _) = beaconflow_store::open(&file).expect("free");
+    let now = desk.now();
+    let ended =
+        Draft { expires_at: now - 30_000, ..desk.draft("ended", 1) }.into_override(Id(1), now - 60_000);
+    store.put(&[ended, desk.draft("holds", 60_000).into_override(Id(2), now)]).expect("durable");
+    drop(store);
+    let keeper = desk.keeper();
+    assert_eq!(keeper.list().len(), 1);
+    drop(keeper);
+    let (store, contents) = beaconflow_store::open(&file).expect("free");
+    let left: Vec<Id> = contents.overrides.iter().map(|one| one.id).collect();
+    assert_eq!((left, store.next_id()), (vec![Id(2)], Id(3)));
+}
+
 #[test]
 fn without_a_store_none_are_taken_and_it_is_said_why() {
     let desk = Desk::new();
