A story of a store that may only be read: the program serves, and the file stays as it is

Cause: a read-only disk was not shown, since root passes permissions. Change: the story runs a copy of the program as an ordinary user. Measured: it passes; none are restored or taken, and it is said why.

--- a/cli/tests/overrides.rs
+++ b/cli/tests/overrides.rs
@@ -385,6 +385,36 @@
     site.stand("north");
 }
 
+#[test]
+fn a_store_that_may_only_be_read_is_left_as_it_is_and_the_program_serves() {
+    use std::fs::{Permissions, set_permissions};
+    use std::os::unix::fs::PermissionsExt;
+    let mut site = Site::start(2);
+    site.api.add(&out("s0", 60.0));
+    let mut program = site.program.take().expect("it runs");
+    program.signal("TERM");
+    program.ends();
+    let before = std::fs::read(site.store()).expect("there");
+    let copy = tempfile::tempdir().expect("a folder for temporary files");
+    set_permissions(copy.path(), Permissions::from_mode(0o755)).expect("ours");
+    let binary = copy.path().join("beaconflow");
+    for path in [&site.operator, &site.config] {
+        set_permissions(path, Permissions::from_mode(0o444)).expect("ours");
+    }
+    set_permissions(site.store(), Permissions::from_mode(0o444)).expect("ours");
+    set_permissions(site.folder.path(), Permissions::from_mode(0o555)).expect("ours");
+    let program =
+        Program::start_as_nobody(&binary, &["--operator", &site.operator], &[("LB_CONFIG", &site.config)]);
+    let said = program.says("none are restored or kept");
+    assert!(said.contains("denied"), "{said}");
+    program.says("administration API serves");
+    site.program = Some(program);
+    none_are_kept(&site, "can't be opened");
+    assert!(std::fs::read(site.store()).expect("there") == before, "not a byte has changed");
+    // The folder is removed at the end.
+    set_permissions(site.folder.path(), Permissions::from_mode(0o755)).expect("ours");
+}
+
 #[test]
 fn a_disk_that_is_full_refuses_a_change_and_changes_nothing() {
     let site = Site::start(2);
--- a/cli/tests/support/mod.rs
+++ b/cli/tests/support/mod.rs
@@ -4,8 +4,12 @@
 
 pub mod nats;
 
+use std::fs::Permissions;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::fs::PermissionsExt;
+use std::os::unix::process::CommandExt;
+use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
@@ -43,7 +47,21 @@
 
 impl Program {
     pub fn start(args: &[&str], env: &[(&str, &str)]) -> Program {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_beaconflow"));
+        Program::begin(Command::new(env!("CARGO_BIN_EXE_beaconflow")), args, env)
+    }
+
+    /// Starts it as an ordinary user, whom the leave to write concerns. Root's tests need a copy that others may run.
+    pub fn start_as_nobody(copy: &Path, args: &[&str], env: &[(&str, &str)]) -> Program {
+        std::fs::copy(env!("CARGO_BIN_EXE_beaconflow"), copy).expect("room");
+        std::fs::set_permissions(copy, Permissions::from_mode(0o755)).expect("its owner may");
+        let mut command = Command::new(copy);
+        if rustix::process::geteuid().is_root() {
+            command.uid(65_534).gid(65_534);
+        }
+        Program::begin(command, args, env)
+    }
+
+    fn begin(mut command: Command, args: &[&str], env: &[(&str, &str)]) -> Program {
         command.arg("serve").args(args).envs(env.iter().copied()).stderr(Stdio::piped());
         let mut child = command.spawn().expect("the program starts");
         let lines = BufReader::new(child.stderr.take().expect("piped")).lines();
