Keeper's test of a stepped wall clock allows for a millisecond between two readings

The test now asks for what the program promises: the step to within its tolerance of 1 s, and moments shifted by just what it said.

--- a/balancer/tests/keeper.rs
+++ b/balancer/tests/keeper.rs
@@ -68,11 +68,13 @@
         let short = keeper.add(desk.draft("short", 300), false, None).expect("kept").shown;
         desk.wall.step_to(ahead);
         keeper.look_after();
-        assert_eq!(keeper.wall_ahead(), ahead, "it is said");
+        // The two clocks are not read in one instant: a millisecond may begin between them.
+        let said = keeper.wall_ahead();
+        assert!(said.abs_diff(ahead) < 1_000, "{said} is said of {ahead}");
         let seen = keeper.get(long.one.id).expect("it holds on");
         assert!(seen.remaining <= long.remaining && seen.remaining + 5_000 > long.remaining);
         // People see it end by the clock that they read.
-        assert_eq!(seen.one.expires_at, long.one.expires_at.saturating_add_signed(ahead));
+        assert_eq!(seen.one.expires_at, long.one.expires_at.saturating_add_signed(said));
         std::thread::sleep(Duration::from_millis(310));
         assert!(keeper.get(short.one.id).is_none(), "its span is over");
         // What is on the disk ends at the same moment, by the wall clock as it is after a restart.
