--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -24,6 +24,7 @@
     #[serde(borrow)]
     pub mode: Option<Cow<'a, str>>,
     pub req: Option<u64>,
+    pub client_group: Option<usize>,
     pub give_up_at_ns: Option<Nanos>,
     #[serde(borrow)]
     pub resource: Option<Cow<'a, str>>,
@@ -129,6 +130,8 @@
             out.extend_from_slice(b",\"on\":true");
             Ok(())
         }
+        // The host keeps the line at the door.
+        Action::Wait(_) => return,
         Action::Log(line) => {
             head(out, "WRITE_LOG", instance);
             out.extend_from_slice(b",\"body-text\":");
--- a/admission/src/door.rs
+++ b/admission/src/door.rs
@@ -1,6 +1,6 @@
 //! The door: who waits, whose turn it is, and who gives way.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 
 use rustc_hash::FxHashMap;
 
@@ -8,116 +8,139 @@
 use crate::fair::Fair;
 use crate::slab::{Place, Slab};
 
-/// An account, in the order of the settings.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Account {
-    /// Its part of the service, against the other accounts'.
-    pub share: f64,
-}
-
-/// A class, in the order of the settings.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Class {
-    /// Its part of an account's turns, against the other classes'.
-    pub urgency: f64,
-}
-
 /// What the door holds at most.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
-    /// Entries in all.
-    pub most: usize,
-    /// Entries of one account.
-    pub most_of_account: usize,
-    /// Entries of one queue.
-    pub most_of_queue: usize,
+    /// In all.
+    pub all: Bound,
+    /// Of one account.
+    pub account: Bound,
+    /// Of one queue.
+    pub queue: Bound,
     /// Queues of one class of one account.
     pub queues: usize,
     /// Queues among which a client's entry takes the shortest.
     pub hand: usize,
 }
 
+/// Entries and their bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Bound {
+    /// Entries.
+    pub entries: usize,
+    /// Bytes of what waits, as the host counts them.
+    pub bytes: usize,
+}
+
 impl Default for Limits {
     fn default() -> Limits {
-        Limits { most: 4_096, most_of_account: 4_096, most_of_queue: 1_024, queues: 64, hand: 4 }
+        Limits {
+            all: Bound { entries: 4_096, bytes: 4 << 20 },
+            account: Bound { entries: 4_096, bytes: 4 << 20 },
+            queue: Bound { entries: 1_024, bytes: 1 << 20 },
+            queues: 64,
+            hand: 4,
+        }
+    }
+}
+
+impl Bound {
+    /// No bound at all.
+    pub const NONE: Bound = Bound { entries: usize::MAX, bytes: usize::MAX };
+
+    pub(crate) fn add(&mut self, entry: &Entry) {
+        self.entries += 1;
+        self.bytes += entry.bytes as usize;
+    }
+
+    pub(crate) fn take(&mut self, entry: &Entry) {
+        self.entries -= 1;
+        self.bytes -= entry.bytes as usize;
+    }
+
+    fn is_over(&self, most: &Bound) -> bool {
+        self.entries > most.entries || self.bytes > most.bytes
     }
 }
 
 /// Who waits.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Entry {
     /// Its number; nobody else who waits has it.
     pub id: u64,
-    /// Its account, by place. One that is not known counts as the last.
-    pub account: usize,
+    /// A hash of its account's name.
+    pub account: u64,
+    /// Its account's part of the service, against the others'. What is no number above 0 counts as 1.
+    pub share: f64,
     /// Its class, by place. One that is not known counts as the last.
     pub class: usize,
     /// A hash of its client or group.
     pub flow: u64,
     /// It is of no use after this.
     pub give_up_at: Nanos,
+    /// It was here before and was told to come again: it waits behind no flood of its account's, and gives way last.
+    pub returns: bool,
+    /// Bytes that wait with it.
+    pub bytes: u32,
 }
 
-/// What became of an entry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Entered {
-    /// It waits.
-    Waits,
-    /// It waits, and this one, which may be itself, gave way.
-    GaveWay(Entry),
+/// Accounts that rest and are remembered, so that what they had just now still counts.
+const MOST_RESTING: usize = 1_024;
+
+struct Account {
+    name: u64,
+    share: f64,
+    among_classes: Fair,
+    /// For each class.
+    among_queues: Vec<Fair>,
+    waiting: Bound,
+    /// Its queues by length, those who return before all others, the empty ones left out.
+    lengths: BTreeSet<(bool, u32, usize)>,
+    /// It stands among those at rest; it may be in use again.
+    rests: bool,
 }
 
 /// The door.
 pub struct Door {
-    accounts: Vec<Account>,
     limits: Limits,
-    classes: usize,
+    /// Each class's part of an account's turns; the last one is of those who return.
+    urgencies: Vec<f64>,
     seed: u64,
     among_accounts: Fair,
-    /// For each account.
-    among_classes: Vec<Fair>,
-    /// For each class of each account.
-    among_queues: Vec<Fair>,
+    accounts: Vec<Account>,
+    by_name: FxHashMap<u64, usize>,
+    /// Accounts that came to rest, the longest ago first; some are in use again.
+    resting: VecDeque<usize>,
     slab: Slab,
     places: FxHashMap<u64, Place>,
     by_end: BTreeSet<(Nanos, u64)>,
-    /// Entries of each account.
-    of_account: Vec<usize>,
-    /// Each account's queues by length, the empty ones left out.
-    lengths: Vec<BTreeSet<(u32, usize)>>,
+    waiting: Bound,
 }
 
 impl Door {
-    /// A door without a line. There is at least one account, class and queue; a share or urgency that is no number
-    /// above 0 counts as 1.
-    pub fn new(accounts: Vec<Account>, classes: Vec<Class>, limits: Limits, seed: u64) -> Door {
-        let sound = |weight: f64| if weight.is_finite() && weight > 0.0 { weight } else { 1.0 };
-        let mut accounts: Vec<Account> =
-            accounts.into_iter().map(|account| Account { share: sound(account.share) }).collect();
-        if accounts.is_empty() {
-            accounts.push(Account { share: 1.0 });
-        }
-        let mut urgencies: Vec<f64> = classes.iter().map(|class| sound(class.urgency)).collect();
+    /// A door without a line. `urgencies` are the classes' parts of an account's turns; there is at least one class
+    /// and queue, and an urgency that is no number above 0 counts as 1.
+    pub fn new(urgencies: &[f64], limits: Limits, seed: u64) -> Door {
+        let mut urgencies: Vec<f64> = urgencies.iter().map(|urgency| sound(*urgency)).collect();
         if urgencies.is_empty() {
             urgencies.push(1.0);
         }
+        // Those who return have half of their account's turns, if need be.
+        urgencies.push(urgencies.iter().sum());
         let queues = limits.queues.max(1);
-        let limits =
-            Limits { queues, hand: limits.hand.clamp(1, queues), most: limits.most.max(1), ..limits };
-        let (count, classes) = (accounts.len(), urgencies.len());
+        let limits = Limits { queues, hand: limits.hand.clamp(1, queues.min(MOST_HAND)), ..limits };
         Door {
-            among_accounts: Fair::new(accounts.iter().map(|account| account.share).collect()),
-            among_classes: (0..count).map(|_| Fair::new(urgencies.clone())).collect(),
-            among_queues: (0..count * classes).map(|_| Fair::new(vec![1.0; queues])).collect(),
-            slab: Slab::new(count * classes * queues),
-            places: FxHashMap::default(),
-            by_end: BTreeSet::new(),
-            of_account: vec![0; count],
-            lengths: vec![BTreeSet::new(); count],
-            accounts,
             limits,
-            classes,
+            urgencies,
             seed,
+            among_accounts: Fair::new(&[]),
+            accounts: Vec::new(),
+            by_name: FxHashMap::default(),
+            resting: VecDeque::new(),
+            slab: Slab::default(),
+            places: FxHashMap::default(),
+            by_end: BTreeSet::new(),
+            waiting: Bound::default(),
         }
     }
 
@@ -131,43 +154,98 @@
         self.places.is_empty()
     }
 
+    /// Places of accounts, those at rest included.
+    pub fn places(&self) -> usize {
+        self.accounts.len()
+    }
+
+    /// Bytes of what waits.
+    pub fn bytes(&self) -> usize {
+        self.waiting.bytes
+    }
+
+    /// The limits that hold.
+    pub fn limits(&self) -> Limits {
+        self.limits
+    }
+
     /// How many of an account wait.
-    pub fn waiting_of(&self, account: usize) -> usize {
-        self.of_account.get(account).copied().unwrap_or(0)
+    pub fn waiting_of(&self, account: u64) -> usize {
+        self.by_name.get(&account).map_or(0, |slot| self.accounts[*slot].waiting.entries)
     }
 
-    /// Lets somebody in who waits from now on. One whose number waits already is left as it is.
-    pub fn enter(&mut self, mut entry: Entry) -> Entered {
+    /// Lets somebody in who waits from now on; `gone` takes those who gave way, which may be the same. One whose number
+    /// waits already is left as it is.
+    pub fn enter(&mut self, mut entry: Entry, gone: &mut Vec<Entry>) {
         if self.places.contains_key(&entry.id) {
-            return Entered::Waits;
+            return;
         }
-        entry.account = entry.account.min(self.accounts.len() - 1);
-        entry.class = entry.class.min(self.classes - 1);
-        let queue = self.queue_of(&entry);
+        entry.class = entry.class.min(self.urgencies.len() - 2);
+        entry.share = sound(entry.share);
+        let slot = self.slot_of(&entry);
+        let queue = self.queue_of(slot, &entry);
         let place = self.slab.push(queue, entry);
         self.places.insert(entry.id, place);
         self.by_end.insert((entry.give_up_at, entry.id));
-        self.of_account[entry.account] += 1;
-        self.relength(entry.account, queue, self.slab.queues[queue].length - 1);
-        self.among_accounts.wants(entry.account);
-        self.among_classes[entry.account].wants(entry.class);
-        self.among_queues[queue / self.limits.queues].wants(queue % self.limits.queues);
-        match self.gives_way(entry.account, queue) {
-            Some(place) => self.take_out(place).map_or(Entered::Waits, Entered::GaveWay),
-            None => Entered::Waits,
+        self.waiting.add(&entry);
+        let account = &mut self.accounts[slot];
+        account.waiting.add(&entry);
+        let length = self.slab.queues[queue].held.entries as u32;
+        account.lengths.remove(&(!entry.returns, length - 1, queue));
+        account.lengths.insert((!entry.returns, length, queue));
+        let lane = (queue / self.limits.queues) % self.urgencies.len();
+        account.among_classes.wants(lane);
+        account.among_queues[lane].wants(queue % self.limits.queues);
+        self.among_accounts.wants(slot);
+        while self.slab.queues[queue].held.is_over(&self.limits.queue) {
+            gone.extend(self.slab.last(queue).and_then(|place| self.take_out(place)));
+        }
+        while self.accounts[slot].waiting.is_over(&self.limits.account) {
+            gone.extend(self.last_of_longest(slot).and_then(|place| self.take_out(place)));
+        }
+        self.shed(gone);
+    }
+
+    /// Holds to other limits from now on; `gone` takes those who gave way. Queues and hands stay as they are.
+    pub fn limit(&mut self, limits: Limits, gone: &mut Vec<Entry>) {
+        self.limits = Limits { queues: self.limits.queues, hand: self.limits.hand, ..limits };
+        for queue in 0..self.slab.queues.len() {
+            while self.slab.queues[queue].held.is_over(&self.limits.queue) {
+                gone.extend(self.slab.last(queue).and_then(|place| self.take_out(place)));
+            }
+        }
+        for slot in 0..self.accounts.len() {
+            while self.accounts[slot].waiting.is_over(&self.limits.account) {
+                gone.extend(self.last_of_longest(slot).and_then(|place| self.take_out(place)));
+            }
+        }
+        self.shed(gone);
+    }
+
+    /// While there are too many in all, the longest queue of the account furthest over its share gives way.
+    fn shed(&mut self, gone: &mut Vec<Entry>) {
+        while self.waiting.is_over(&self.limits.all) {
+            let over = |slot: &usize| {
+                let account = &self.accounts[*slot];
+                account.waiting.entries as f64 / account.share
+            };
+            let furthest = (0..self.accounts.len()).max_by(|one, other| over(one).total_cmp(&over(other)));
+            let Some(place) = furthest.and_then(|slot| self.last_of_longest(slot)) else { return };
+            gone.extend(self.take_out(place));
         }
     }
 
     /// Whose turn it is; it waits no more.
     pub fn admit(&mut self) -> Option<Entry> {
-        let account = self.among_accounts.next()?;
-        let class = self.among_classes[account].next()?;
-        let pair = account * self.classes + class;
-        let queue = self.among_queues[pair].next()?;
-        let place = self.slab.first(pair * self.limits.queues + queue)?;
-        self.among_accounts.takes(account);
-        self.among_classes[account].takes(class);
-        self.among_queues[pair].takes(queue);
+        let slot = self.among_accounts.next()?;
+        let account = &mut self.accounts[slot];
+        let lane = account.among_classes.next()?;
+        let queue = account.among_queues[lane].next()?;
+        account.among_classes.takes(lane);
+        account.among_queues[lane].takes(queue);
+        self.among_accounts.takes(slot);
+        let lanes = self.urgencies.len();
+        let place = self.slab.first((slot * lanes + lane) * self.limits.queues + queue)?;
         self.take_out(place)
     }
 
@@ -177,16 +255,10 @@
         self.take_out(place)
     }
 
-    /// Takes out those who are of no use at that moment, the first to end first.
-    pub fn expire(&mut self, now: Nanos) -> Vec<Entry> {
-        let mut gone = Vec::new();
-        while let Some((_, id)) = self.by_end.first().copied().filter(|(end, _)| *end <= now) {
-            match self.leave(id) {
-                Some(entry) => gone.push(entry),
-                None => drop(self.by_end.pop_first()),
-            }
-        }
-        gone
+    /// Takes out the first of those who are of no use at that moment.
+    pub fn expire(&mut self, now: Nanos) -> Option<Entry> {
+        let (_, id) = self.by_end.first().copied().filter(|(end, _)| *end <= now)?;
+        self.leave(id)
     }
 
     /// When the next one is of no use any more.
@@ -194,14 +266,76 @@
         self.by_end.first().map(|(end, _)| *end)
     }
 
+    /// How many turns of its account one more such entry would wait for: as many of each queue as its own is long.
+    pub fn ahead_of(&self, entry: &Entry) -> usize {
+        let Some(slot) = self.by_name.get(&entry.account).copied() else { return 0 };
+        let entry = Entry { class: entry.class.min(self.urgencies.len() - 2), ..*entry };
+        let own = self.slab.queues[self.queue_of(slot, &entry)].held.entries + 1;
+        let account = &self.accounts[slot];
+        account.waiting.entries.min(own.saturating_mul(account.lengths.len()))
+    }
+
+    /// The place of an entry's account, which is made if there is none. Guards against memory that grows with every
+    /// name that was ever heard: places of accounts at rest are used again.
+    fn slot_of(&mut self, entry: &Entry) -> usize {
+        let known = self.by_name.get(&entry.account).copied();
+        let slot = known.unwrap_or_else(|| match self.place_at_rest() {
+            Some(slot) => {
+                self.by_name.remove(&self.accounts[slot].name);
+                slot
+            }
+            None => {
+                let fair = || Fair::new(&vec![1.0; self.limits.queues]);
+                self.accounts.push(Account {
+                    name: 0,
+                    share: 1.0,
+                    among_classes: Fair::new(&self.urgencies),
+                    among_queues: self.urgencies.iter().map(|_| fair()).collect(),
+                    waiting: Bound::default(),
+                    lengths: BTreeSet::new(),
+                    rests: false,
+                });
+                self.slab.widen(self.urgencies.len() * self.limits.queues);
+                self.among_accounts.join(1.0);
+                self.accounts.len() - 1
+            }
+        });
+        if known.is_none() {
+            self.accounts[slot].name = entry.account;
+            self.by_name.insert(entry.account, slot);
+        }
+        if self.accounts[slot].share != entry.share || known.is_none() {
+            self.accounts[slot].share = entry.share;
+            self.among_accounts.weigh(slot, entry.share);
+        }
+        slot
+    }
+
+    /// The place of an account at rest that may be another's from now on.
+    fn place_at_rest(&mut self) -> Option<usize> {
+        while let Some(slot) = self.resting.front().copied() {
+            let waits = self.accounts[slot].waiting.entries > 0;
+            if !waits && !self.among_accounts.is_square(slot) && self.resting.len() < MOST_RESTING {
+                return None;
+            }
+            self.resting.pop_front();
+            self.accounts[slot].rests = false;
+            if !waits {
+                return Some(slot);
+            }
+        }
+        None
+    }
+
     /// The queue that an entry goes to: the shortest of a hand that its flow is dealt. The deal is keyed by the seed.
     /// Guards against names that are chosen to meet in one queue, and against one loud name that fills all of them.
-    fn queue_of(&self, entry: &Entry) -> usize {
-        let base = (entry.account * self.classes + entry.class) * self.limits.queues;
+    fn queue_of(&self, slot: usize, entry: &Entry) -> usize {
+        let lane = if entry.returns { self.urgencies.len() - 1 } else { entry.class };
+        let base = (slot * self.urgencies.len() + lane) * self.limits.queues;
         let mut deck = mixed(entry.flow ^ self.seed);
         let mut best = None;
         let mut dealt: [usize; MOST_HAND] = [usize::MAX; MOST_HAND];
-        for card in 0..self.limits.hand.min(MOST_HAND) {
+        for card in 0..self.limits.hand {
             // Without repeats, as cards are dealt: the k-th of those not dealt yet.
             let left = (self.limits.queues - card) as u64;
             let mut pick = (deck % left) as usize;
@@ -212,7 +346,7 @@
                 pick += usize::from(pick >= *other);
             }
             dealt[card] = pick;
-            let length = self.slab.queues[base + pick].length;
+            let length = self.slab.queues[base + pick].held.entries;
             if best.is_none_or(|(least, _)| length < least) {
                 best = Some((length, base + pick));
             }
@@ -220,60 +354,48 @@
         best.map_or(base, |(_, queue)| queue)
     }
 
-    /// Who gives way now that one more waits: the last of a queue that is too long, else of the longest queue of an
-    /// account that has too many, else of the account furthest over its share.
-    fn gives_way(&self, account: usize, queue: usize) -> Option<Place> {
-        if self.slab.queues[queue].length as usize > self.limits.most_of_queue {
-            return self.slab.last(queue);
-        }
-        if self.of_account[account] > self.limits.most_of_account {
-            return self.last_of_longest(account);
-        }
-        if self.places.len() <= self.limits.most {
-            return None;
-        }
-        let over = |account: &usize| self.of_account[*account] as f64 / self.accounts[*account].share;
-        let furthest = (0..self.accounts.len()).max_by(|one, other| over(one).total_cmp(&over(other)))?;
-        self.last_of_longest(furthest)
-    }
-
-    fn last_of_longest(&self, account: usize) -> Option<Place> {
-        self.slab.last(self.lengths[account].last()?.1)
+    fn last_of_longest(&self, slot: usize) -> Option<Place> {
+        self.slab.last(self.accounts[slot].lengths.last()?.2)
     }
 
     fn take_out(&mut self, place: Place) -> Option<Entry> {
         let (entry, queue) = self.slab.remove(place)?;
         self.places.remove(&entry.id);
         self.by_end.remove(&(entry.give_up_at, entry.id));
-        self.of_account[entry.account] -= 1;
-        self.relength(entry.account, queue, self.slab.queues[queue].length + 1);
-        if self.slab.queues[queue].length == 0 {
-            let pair = queue / self.limits.queues;
-            self.among_queues[pair].rests(queue % self.limits.queues);
-            if self.among_queues[pair].next().is_none() {
-                self.among_classes[entry.account].rests(entry.class);
-            }
-            if self.among_classes[entry.account].next().is_none() {
-                self.among_accounts.rests(entry.account);
+        self.waiting.take(&entry);
+        let lanes = self.urgencies.len();
+        let pair = queue / self.limits.queues;
+        let (slot, lane) = (pair / lanes, pair % lanes);
+        let account = &mut self.accounts[slot];
+        account.waiting.take(&entry);
+        let length = self.slab.queues[queue].held.entries as u32;
+        account.lengths.remove(&(!entry.returns, length + 1, queue));
+        if length > 0 {
+            account.lengths.insert((!entry.returns, length, queue));
+            return Some(entry);
+        }
+        account.among_queues[lane].rests(queue % self.limits.queues);
+        if account.among_queues[lane].next().is_none() {
+            account.among_classes.rests(lane);
+        }
+        if account.among_classes.next().is_none() {
+            self.among_accounts.rests(slot);
+            if !account.rests {
+                account.rests = true;
+                self.resting.push_back(slot);
             }
         }
         Some(entry)
     }
-
-    /// Books that a queue's length is another one than before.
-    fn relength(&mut self, account: usize, queue: usize, before: u32) {
-        let lengths = &mut self.lengths[account];
-        lengths.remove(&(before, queue));
-        let now = self.slab.queues[queue].length;
-        if now > 0 {
-            lengths.insert((now, queue));
-        }
-    }
 }
 
 /// Largest hand.
 const MOST_HAND: usize = 16;
 
+fn sound(weight: f64) -> f64 {
+    if weight.is_finite() && weight > 0.0 { weight } else { 1.0 }
+}
+
 /// Spreads a number's bits over all of it.
 fn mixed(mut bits: u64) -> u64 {
     bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
--- a/admission/src/lib.rs
+++ b/admission/src/lib.rs
@@ -7,25 +7,30 @@
 //! ```
 //! use beaconflow_admission::*;
 //!
-//! let accounts = vec![Account { share: 3.0 }, Account { share: 1.0 }];
-//! let classes = vec![Class { urgency: 1.0 }];
-//! let mut door = Door::new(accounts, classes, Limits { most: 100, ..Limits::default() }, 7);
+//! let mut door = Door::new(&[1.0], Limits::default(), 7);
+//! let mut gone = Vec::new();
 //! for id in 0..8 {
-//!     let who = Entry { id, account: (id % 2) as usize, class: 0, flow: id, give_up_at: 1_000 };
-//!     assert_eq!(door.enter(who), Entered::Waits);
+//!     let (account, share) = if id % 2 == 0 { (10, 3.0) } else { (20, 1.0) };
+//!     let who = Entry { id, account, share, class: 0, flow: id, give_up_at: 1_000, returns: false, bytes: 1 };
+//!     door.enter(who, &mut gone);
 //! }
+//! assert!(gone.is_empty());
 //! // The first account has three of each four turns while both wait.
-//! let first: Vec<usize> = (0..4).filter_map(|_| door.admit()).map(|entry| entry.account).collect();
-//! assert_eq!(first.iter().filter(|account| **account == 0).count(), 3);
+//! let first: Vec<u64> = (0..4).filter_map(|_| door.admit()).map(|entry| entry.account).collect();
+//! assert_eq!(first.iter().filter(|account| **account == 10).count(), 3);
 //! ```
 
 #![forbid(unsafe_code)]
 
 mod door;
 mod fair;
+mod returning;
 mod slab;
+mod tally;
 
-pub use door::{Account, Class, Door, Entered, Entry, Limits};
+pub use door::{Bound, Door, Entry, Limits};
+pub use returning::{Quickest, Returning};
+pub use tally::{Miss, OverShare, Tallies, Tally};
 
 /// A moment or a span, in nanoseconds.
 pub type Nanos = u64;
--- a/admission/src/slab.rs
+++ b/admission/src/slab.rs
@@ -1,6 +1,6 @@
 //! Entries in one block of memory, linked into queues, so that any of them leaves at a fixed cost.
 
-use crate::door::Entry;
+use crate::door::{Bound, Entry};
 
 /// A place in the slab.
 pub(crate) type Place = u32;
@@ -14,19 +14,20 @@
     after: Place,
 }
 
-/// A queue's ends and its length.
+/// A queue's ends and what it holds.
 #[derive(Clone, Copy)]
 pub(crate) struct Queue {
     first: Place,
     last: Place,
-    pub(crate) length: u32,
+    pub(crate) held: Bound,
 }
 
 impl Queue {
-    pub(crate) const EMPTY: Queue = Queue { first: NONE, last: NONE, length: 0 };
+    const EMPTY: Queue = Queue { first: NONE, last: NONE, held: Bound { entries: 0, bytes: 0 } };
 }
 
 /// All entries of all queues.
+#[derive(Default)]
 pub(crate) struct Slab {
     nodes: Vec<Option<Node>>,
     free: Vec<Place>,
@@ -34,8 +35,9 @@
 }
 
 impl Slab {
-    pub(crate) fn new(queues: usize) -> Slab {
-        Slab { nodes: Vec::new(), free: Vec::new(), queues: vec![Queue::EMPTY; queues] }
+    /// So many queues more.
+    pub(crate) fn widen(&mut self, by: usize) {
+        self.queues.resize(self.queues.len() + by, Queue::EMPTY);
     }
 
     pub(crate) fn push(&mut self, queue: usize, entry: Entry) -> Place {
@@ -56,7 +58,7 @@
             None => self.queues[queue].first = place,
         }
         self.queues[queue].last = place;
-        self.queues[queue].length += 1;
+        self.queues[queue].held.add(&entry);
         place
     }
 
@@ -80,7 +82,7 @@
             Some(node) => node.before = before,
             None => self.queues[queue].last = before,
         }
-        self.queues[queue].length -= 1;
+        self.queues[queue].held.take(&entry);
         self.free.push(place);
         Some((entry, queue))
     }
--- a/balancer/src/admin/tenants.rs
+++ b/balancer/src/admin/tenants.rs
@@ -10,11 +10,14 @@
 
 use super::http::Reply;
 use super::parse;
-use crate::front::nats::tenants::{Identity, StoreError, Tenant, Tenants, hash, is_name};
+use crate::front::nats::tenants::{Identity, StoreError, Tenant, Tenants, hash, is_name, usual_share};
 
 /// Bounds of a password.
 const PASSWORD: std::ops::RangeInclusive<usize> = 12..=256;
 
+/// Bounds of a share.
+const SHARES: std::ops::RangeInclusive<f64> = 0.001..=1e6;
+
 /// The tenants, and the settings that name their classes.
 type Here = (Arc<Tenants>, Arc<Setup>);
 
@@ -35,6 +38,8 @@
     password: String,
     class: String,
     connections: usize,
+    #[serde(default = "usual_share")]
+    share: f64,
     upstream: Identity,
 }
 
@@ -43,6 +48,7 @@
 struct Change {
     class: Option<String>,
     connections: Option<usize>,
+    share: Option<f64>,
     upstream: Option<Identity>,
 }
 
@@ -70,21 +76,22 @@
     if !is_name(&asked.name) {
         return Err(Reply::error(422, "name: 1 to 64 letters, digits, '-' or '_'"));
     }
-    check(setup, Some(&asked.class), Some(asked.connections), Some(&asked.upstream))?;
+    check(setup, Some(&asked.class), Some(asked.connections), Some(asked.share), Some(&asked.upstream))?;
     let secret = hashed(&asked.password)?;
-    let Create { name, class, connections, upstream, .. } = asked;
-    let made = tenants.create(Tenant { name, secret, class, connections, upstream })?;
+    let Create { name, class, connections, share, upstream, .. } = asked;
+    let made = tenants.create(Tenant { name, secret, class, connections, share, upstream })?;
     info!(part = "audit", tenant = made.name, "tenant created");
     Ok(Reply::new(201, shown(&made, &BTreeMap::new())))
 }
 
 /// Changes what is given.
 pub(super) fn change((tenants, setup): &Here, name: &str, body: &[u8]) -> Result<Reply, Reply> {
-    let Change { class, connections, upstream } = parse(body)?;
-    check(setup, class.as_deref(), connections, upstream.as_ref())?;
+    let Change { class, connections, share, upstream } = parse(body)?;
+    check(setup, class.as_deref(), connections, share, upstream.as_ref())?;
     let changed = tenants.change(name, |tenant| {
         tenant.class = class.unwrap_or_else(|| tenant.class.clone());
         tenant.connections = connections.unwrap_or(tenant.connections);
+        tenant.share = share.unwrap_or(tenant.share);
         tenant.upstream = upstream.unwrap_or_else(|| tenant.upstream.clone());
     })?;
     info!(part = "audit", tenant = name, "tenant changed");
@@ -111,11 +118,15 @@
     setup: &Setup,
     class: Option<&str>,
     connections: Option<usize>,
+    share: Option<f64>,
     upstream: Option<&Identity>,
 ) -> Result<(), Reply> {
     if class.is_some_and(|class| setup.class(class).is_none()) {
         return Err(Reply::error(422, "class: not in the settings"));
     }
+    if share.is_some_and(|share| !SHARES.contains(&share)) {
+        return Err(Reply::error(422, "share: from 0.001 to 1000000"));
+    }
     if connections == Some(0) {
         return Err(Reply::error(422, "connections: at least 1"));
     }
@@ -136,6 +147,7 @@
 fn shown(tenant: &Tenant, open: &BTreeMap<String, usize>) -> Value {
     json!({
         "name": tenant.name, "class": tenant.class, "connections": tenant.connections,
+        "share": tenant.share,
         "open": open.get(&tenant.name).copied().unwrap_or(0), "upstream": { "user": tenant.upstream.user },
     })
 }
--- a/balancer/src/core/admit.rs
+++ b/balancer/src/core/admit.rs
@@ -5,6 +5,8 @@
 
 use beaconflow::api;
 
+use crate::clock::nanos;
+
 use super::{Carrier, Core, Due, HELD_PATIENCE, HELD_RETRY, Opening, Order};
 
 impl Core {
@@ -14,7 +16,12 @@
         let held = opening.held_by.is_some();
         let now = self.now_ms();
         let pin = self.guarded(|core| core.farm.pin(opening.group, opening.tenant, now)).flatten();
-        let arrival = self.ledger.open(id, opening, orders, pin);
+        let give_up_at = opening.taken_at.saturating_add(nanos(opening.patience));
+        let entry = self.gate.entry(id, &opening, give_up_at, self.clock.now());
+        if !held {
+            self.gate.asked(self.clock.now(), &opening, &entry);
+        }
+        let arrival = self.ledger.open(id, opening, orders, pin, entry);
         if self.leaving_since.is_some() {
             // Guards against newcomers placed through a program that is about to move them again.
             self.answer(id, Order::Unavailable(None));
@@ -36,7 +43,7 @@
         let within = Duration::from_nanos(transaction.give_up_at - now).min(HELD_PATIENCE);
         let name = transaction.opening.held_by.as_deref().unwrap_or_default();
         match self.farm.by_name(name) {
-            Some((server, to)) => self.ledger.pass(id, server, Order::Pass { to, within }),
+            Some((server, to)) => drop(self.ledger.pass(id, server, Order::Pass { to, within }, now)),
             None => self.wake(HELD_RETRY, Due::Held(id)),
         }
     }
--- /dev/null
+++ b/balancer/src/core/door.rs
@@ -0,0 +1,266 @@
+//! Admission: transactions that have to wait for a set-up wait at the door, and nowhere else.
+//!
+//! The order and who gives way are the door's; where a transaction goes and how it is answered are the module's.
+
+use std::time::Duration;
+
+use beaconflow::api::{self, Class, Nanos, RequestId};
+use beaconflow_admission::{Door, Entry, Limits, Miss, OverShare, Quickest, Returning, Tallies};
+use beaconflow_settings::{Setup, digest};
+use tracing::{info, warn};
+
+use super::ledger::Transaction;
+use super::{Core, Due, Opening};
+
+/// The account of those who belong to none.
+const OTHERS: &str = "others";
+
+/// How far the door goes, and what the accounts' shares are where their own settings don't say.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Config {
+    /// What it holds at most.
+    pub limits: Limits,
+    /// Shares by the account's name; these go before all others.
+    pub shares: Vec<(String, f64)>,
+    /// An account that is over its share for longer than this is told of.
+    pub over_share: Duration,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config { limits: Limits::default(), shares: Vec::new(), over_share: Duration::from_secs(10) }
+    }
+}
+
+/// The door as people see it.
+#[derive(Clone, Debug)]
+pub struct DoorLook {
+    /// Entries that wait.
+    pub waiting: usize,
+    /// Their bytes.
+    pub bytes: usize,
+    /// What it holds at most.
+    pub limits: Limits,
+    /// Each account that has asked, by name.
+    pub accounts: Vec<AccountLook>,
+}
+
+/// One account as people see it.
+#[derive(Clone, Debug)]
+pub struct AccountLook {
+    /// Its name.
+    pub name: String,
+    /// Its part of the service by the shares of all, from 0 to 1.
+    pub due: f64,
+    /// First attempts a second, lately.
+    pub per_second: f64,
+    /// Entries that wait.
+    pub waiting: usize,
+    /// Requests that came.
+    pub asked: u64,
+    /// Those that got a first attempt.
+    pub admitted: u64,
+    /// Those of them beyond its share, which others did not use.
+    pub lent: u64,
+    /// Those told to come again before a first attempt.
+    pub refused: u64,
+    /// Those whose time was up before a first attempt.
+    pub given_up: u64,
+    /// Those whose client left before a first attempt.
+    pub left: u64,
+    /// Time to the first attempt, median, in milliseconds.
+    pub wait_p50_ms: u64,
+    /// The same, 99th percentile.
+    pub wait_p99_ms: u64,
+}
+
+/// The line, who stands in it, and what came of it.
+pub(super) struct Gate {
+    door: Door,
+    tallies: Tallies,
+    returning: Returning,
+    /// By class.
+    quickest: Vec<Quickest>,
+    config: Config,
+    /// Shares by the accounts' names, from the settings of the site.
+    listed: Vec<(String, f64)>,
+    /// Those that gave way and have not been answered.
+    gone: Vec<Entry>,
+    /// When the next one's time is up, if that moment has been set.
+    wakes_at: Option<Nanos>,
+}
+
+impl Gate {
+    pub(super) fn new(setup: &Setup, config: Config, classes: &[Class], seed: u64) -> Gate {
+        let urgencies: Vec<f64> = classes.iter().map(Class::urgency).collect();
+        Gate {
+            door: Door::new(&urgencies, config.limits, seed),
+            tallies: Tallies::default(),
+            returning: Returning::default(),
+            quickest: vec![Quickest::default(); classes.len()],
+            config,
+            listed: setup.shares().map(|(name, share)| (name.to_owned(), share)).collect(),
+            gone: Vec::new(),
+            wakes_at: None,
+        }
+    }
+
+    /// An account's share: what the operator's file says, else its own record, else the settings of the site. One of
+    /// which nobody says anything has the least of those listed.
+    fn share(&self, opening: &Opening) -> f64 {
+        let of = |list: &[(String, f64)]| {
+            let name = opening.account.as_deref()?;
+            list.iter().find(|(listed, _)| listed == name).map(|(_, share)| *share)
+        };
+        let least = || self.listed.iter().map(|(_, share)| *share).reduce(f64::min);
+        let own = of(&self.config.shares).or(opening.share).or_else(|| of(&self.listed));
+        own.or_else(least).unwrap_or(1.0)
+    }
+
+    /// What the line is told of a transaction.
+    pub(super) fn entry(&mut self, id: u64, opening: &Opening, give_up_at: Nanos, now: Nanos) -> Entry {
+        let client = opening.key.or(opening.group).unwrap_or(id);
+        let returns = opening.again || opening.key.is_some_and(|key| self.returning.comes(now, key));
+        let quickest = self.quickest.get(opening.class).map_or(0, Quickest::get);
+        Entry {
+            id,
+            account: account(opening),
+            share: self.share(opening),
+            class: opening.class,
+            // A group of ten thousand sites is one name: it fills no more queues than any other.
+            flow: opening.group.unwrap_or(client),
+            give_up_at: give_up_at.saturating_sub(quickest),
+            returns,
+            bytes: u32::try_from(size_of::<Transaction>() + opening.bytes).unwrap_or(u32::MAX),
+        }
+    }
+
+    pub(super) fn asked(&mut self, now: Nanos, opening: &Opening, entry: &Entry) {
+        let name = opening.account.as_deref().unwrap_or(OTHERS);
+        self.tallies.asked(now, entry.account, name, entry.share);
+    }
+
+    pub(super) fn wait(&mut self, entry: Entry) {
+        self.door.enter(entry, &mut self.gone);
+    }
+
+    /// Whoever has been answered or has left waits no more.
+    pub(super) fn leave(&mut self, id: u64) {
+        self.door.leave(id);
+    }
+
+    pub(super) fn admitted(&mut self, now: Nanos, entry: &Entry, waited: Nanos) {
+        self.tallies.admitted(now, entry.account, waited);
+    }
+
+    pub(super) fn missed(&mut self, entry: &Entry, how: Miss) {
+        self.tallies.missed(entry.account, how);
+    }
+
+    pub(super) fn stands(&mut self, class: usize, took: Nanos) {
+        if let Some(quickest) = self.quickest.get_mut(class) {
+            quickest.took(took);
+        }
+    }
+
+    pub(super) fn told_to_move(&mut self, now: Nanos, client: u64) {
+        self.returning.told(now, client);
+    }
+
+    /// Another file's word, from now on; queues and hands stay as they are.
+    pub(super) fn configure(&mut self, config: Config) {
+        self.door.limit(config.limits, &mut self.gone);
+        self.config = config;
+    }
+
+    /// Shares that the settings of the site list from now on.
+    pub(super) fn list_shares(&mut self, listed: Vec<(String, f64)>) {
+        self.listed = listed;
+    }
+
+    pub(super) fn look(&self, now: Nanos) -> DoorLook {
+        let all = self.tallies.all();
+        let whole: f64 = all.iter().map(|(_, tally)| tally.share).sum();
+        let row = |(id, tally): &(u64, &beaconflow_admission::Tally)| AccountLook {
+            name: tally.name.clone().into(),
+            due: tally.share / whole,
+            per_second: tally.per_second(now),
+            waiting: self.door.waiting_of(*id),
+            asked: tally.asked,
+            admitted: tally.admitted,
+            lent: tally.lent,
+            refused: tally.refused,
+            given_up: tally.given_up,
+            left: tally.left,
+            wait_p50_ms: tally.waits.value_at_quantile(0.5),
+            wait_p99_ms: tally.waits.value_at_quantile(0.99),
+        };
+        DoorLook {
+            waiting: self.door.len(),
+            bytes: self.door.bytes(),
+            limits: self.door.limits(),
+            accounts: all.iter().map(row).collect(),
+        }
+    }
+}
+
+/// An account by number.
+fn account(opening: &Opening) -> u64 {
+    opening.account.as_deref().map_or(0, digest)
+}
+
+impl Core {
+    /// Gives turns to those who wait, as long as the module has any; answers those who gave way and those whose time
+    /// is up.
+    pub(super) fn give_turns(&mut self) {
+        loop {
+            let now = self.clock.now();
+            if let Some(entry) = self.gate.gone.pop() {
+                self.turn_away(now, &entry);
+            } else if let Some(entry) = self.gate.door.expire(now) {
+                self.ledger.late(entry.id);
+                self.turn_away(now, &entry);
+            } else if self.balancer.has_turns()
+                && let Some(entry) = self.gate.door.admit()
+            {
+                self.handle(api::Event::Turn(RequestId(entry.id)));
+            } else {
+                break;
+            }
+        }
+        let end = self.gate.door.next_end();
+        if let Some(end) = end.filter(|end| self.gate.wakes_at.is_none_or(|wakes| *end < wakes)) {
+            self.gate.wakes_at = Some(end);
+            self.wake(Duration::from_nanos(end.saturating_sub(self.clock.now())), Due::Door);
+        }
+    }
+
+    fn turn_away(&mut self, now: Nanos, entry: &Entry) {
+        let drain = self.gate.tallies.drain(now, entry.account, self.gate.door.ahead_of(entry));
+        self.handle(api::Event::TurnedAway { request: RequestId(entry.id), drain });
+    }
+
+    /// Somebody's time may be up.
+    pub(super) fn door_is_due(&mut self) {
+        self.gate.wakes_at = None;
+        self.give_turns();
+    }
+
+    /// Tells of accounts that are over their shares for long, and of their return.
+    pub(super) fn tell_over_share(&mut self) {
+        let bound = self.gate.config.over_share;
+        let bound = Nanos::try_from(bound.as_nanos()).unwrap_or(Nanos::MAX);
+        for OverShare { name, part, due, lasts } in self.gate.tallies.over_share(self.clock.now(), bound) {
+            let (part, due) = (format!("{:.0}%", part * 100.0), format!("{:.0}%", due * 100.0));
+            match lasts {
+                Some(lasts) => {
+                    let for_s = lasts / 1_000_000_000;
+                    warn!(part = self.name, account = %name, of_all = part, due, for_s, "account over its share");
+                }
+                None => {
+                    info!(part = self.name, account = %name, of_all = part, due, "account within its share")
+                }
+            }
+        }
+    }
+}
--- a/balancer/src/core/ledger.rs
+++ b/balancer/src/core/ledger.rs
@@ -5,6 +5,8 @@
 
 use beaconflow::api::{Arrival, ClassId, ClientKey, GroupId, Nanos, Outcome, Pin, RequestId, ServerId};
 
+use beaconflow_admission::Entry;
+
 use super::{Carrier, Opening, Order};
 use crate::clock::nanos;
 
@@ -24,6 +26,12 @@
 pub(super) struct Transaction {
     pub(super) opening: Opening,
     pub(super) give_up_at: Nanos,
+    /// What the line at the door is told of it.
+    pub(super) entry: Entry,
+    /// Its time was up while it waited there.
+    pub(super) late: bool,
+    /// When its latest pass was made.
+    passed_at: Nanos,
     orders: Arc<dyn Carrier>,
     place: Place,
     /// Passes so far, as the module counts them.
@@ -41,6 +49,18 @@
     pub(super) held: bool,
 }
 
+/// A pass that stands.
+pub(super) struct Stands {
+    /// Which pass, from 0.
+    pub(super) attempt: u32,
+    pub(super) server: ServerId,
+    /// The server held the connection before the start.
+    pub(super) held: bool,
+    pub(super) class: usize,
+    /// Since the pass was made.
+    pub(super) took: Nanos,
+}
+
 /// What has been counted since the start.
 #[derive(Clone, Debug, Default)]
 pub struct Counts {
@@ -89,12 +109,23 @@
         opening: Opening,
         orders: Arc<dyn Carrier>,
         pin: Option<Pin>,
+        entry: Entry,
     ) -> Arrival {
         self.counts.opened += 1;
         self.counts.pinned += u64::from(pin.is_some());
         let give_up_at = opening.taken_at.saturating_add(nanos(opening.patience));
-        let transaction =
-            Transaction { opening, give_up_at, orders, place: Place::Waiting, passes: 0, moving: false, pin };
+        let transaction = Transaction {
+            opening,
+            give_up_at,
+            entry,
+            late: false,
+            passed_at: 0,
+            orders,
+            place: Place::Waiting,
+            passes: 0,
+            moving: false,
+            pin,
+        };
         let arrival = transaction.arrival(id);
         self.open.insert(id, transaction);
         arrival
@@ -119,18 +150,37 @@
         }
     }
 
-    pub(super) fn pass(&mut self, id: u64, server: ServerId, order: Order) {
-        if let Some(transaction) = self.open.get_mut(&id) {
+    /// Makes a pass; the first one the module asks for gives what was told of it and how long it waited.
+    pub(super) fn pass(
+        &mut self,
+        id: u64,
+        server: ServerId,
+        order: Order,
+        now: Nanos,
+    ) -> Option<(Entry, Nanos)> {
+        let transaction = self.open.get_mut(&id)?;
+        {
+            let first = (transaction.passes == 0 && transaction.opening.held_by.is_none())
+                .then(|| (transaction.entry, now.saturating_sub(transaction.opening.taken_at)));
+            transaction.passed_at = now;
             let held = transaction.opening.held_by.is_some();
             transaction.place = if held { Place::Held(server) } else { Place::Out(server) };
             transaction.passes += 1;
             self.counts.passes += 1;
             self.order(id, order);
+            first
+        }
+    }
+
+    /// A transaction's time was up while it waited at the door.
+    pub(super) fn late(&mut self, id: u64) {
+        if let Some(transaction) = self.open.get_mut(&id) {
+            transaction.late = true;
         }
     }
 
-    /// The pass stands: its number, its application server, and whether that held it before the start.
-    pub(super) fn stands(&mut self, id: u64) -> Option<(u32, ServerId, bool)> {
+    /// The pass stands.
+    pub(super) fn stands(&mut self, id: u64, now: Nanos) -> Option<Stands> {
         let transaction = self.open.get_mut(&id)?;
         let (server, held) = match transaction.place {
             Place::Out(server) => (server, false),
@@ -139,7 +189,8 @@
         };
         transaction.place = Place::Standing(server);
         self.counts.served += 1;
-        Some((transaction.passes - 1, server, held))
+        let took = now.saturating_sub(transaction.passed_at);
+        Some(Stands { attempt: transaction.passes - 1, server, held, class: transaction.opening.class, took })
     }
 
     /// Numbers the standing connection as the module does that takes it over.
@@ -217,6 +268,11 @@
 }
 
 impl Transaction {
+    /// It waits for the module and has had no pass.
+    pub(super) fn never_passed(&self) -> bool {
+        self.passes == 0 && self.opening.held_by.is_none()
+    }
+
     fn arrival(&self, id: u64) -> Arrival {
         Arrival {
             request: RequestId(id),
--- a/balancer/src/core/mod.rs
+++ b/balancer/src/core/mod.rs
@@ -4,6 +4,7 @@
 //! transaction that they concern.
 
 mod admit;
+mod door;
 mod farm;
 mod ledger;
 mod overrides;
@@ -21,14 +22,17 @@
 use beaconflow::api::{
     self, Action, Nanos, Note, Outcome, RequestId, ServerId, Settings, SettingsError, TimerId,
 };
+use beaconflow_admission::Miss;
 use beaconflow_overrides::{Id, Judgement, Pace, Set};
 use beaconflow_settings::Setup;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
 
+use door::Gate;
+pub use door::{AccountLook, Config as DoorConfig, DoorLook};
 use farm::Farm;
 pub use farm::{ApplicationServer, Mark, ServerLook};
 pub use ledger::Counts;
-use ledger::{Ledger, Place};
+use ledger::{Ledger, Place, Stands};
 pub use overrides::{InEffect, OverrideChange};
 use tracing::{info, warn};
 
@@ -65,6 +69,14 @@
     pub group: Option<u64>,
     /// A hash of its tenant's name.
     pub tenant: Option<u64>,
+    /// The name of the account that it counts for: its tenant's.
+    pub account: Option<Arc<str>>,
+    /// The account's part of the service, where its record says.
+    pub share: Option<f64>,
+    /// Its client says that it was moved, or that its connection broke.
+    pub again: bool,
+    /// Bytes that its front keeps for it while it waits.
+    pub bytes: usize,
     /// Expected load, in microseconds of work a second.
     pub load: Option<f64>,
     /// When it came.
@@ -96,6 +108,10 @@
     Terminate,
     /// Somebody wants to see the counts and the farm.
     Look(Sender<Look>),
+    /// The operator's file says something else of admission.
+    Door(DoorConfig),
+    /// The settings of the site list other shares, by the accounts' names.
+    Shares(Vec<(String, f64)>),
     /// Overrides have changed; the answer comes once the module has been told.
     Overrides(Vec<OverrideChange>, Option<Sender<InEffect>>),
 }
@@ -137,6 +153,8 @@
     pub farm: Vec<ServerLook>,
     /// Where the overrides leave no ready server.
     pub judgement: Judgement,
+    /// Who waits, and what each account got.
+    pub door: DoorLook,
     /// None hold at this front, since a fault in them was met.
     pub overrides_lost: bool,
 }
@@ -226,6 +244,8 @@
     pub watch: Sender<()>,
     /// The overrides that were restored.
     pub overrides: Set,
+    /// What the operator's file says of admission.
+    pub door: DoorConfig,
 }
 
 /// Why a core does not start.
@@ -273,6 +293,7 @@
         connect_timeout: Duration::from_nanos(settings.limits.connect_timeout),
         slow: Duration::from_nanos(slow),
     };
+    let gate = Gate::new(&start.setup, start.door, &settings.classes, start.seed);
     let balancer = Balancer::new(settings.clone(), start.seed).map_err(StartError::Range)?;
     let mut core = Core {
         name: start.name,
@@ -283,6 +304,7 @@
         balancer,
         farm: Farm::new(start.overrides),
         ledger: Ledger::default(),
+        gate,
         timers: BinaryHeap::new(),
         set: 0,
         watch: start.watch,
@@ -307,6 +329,8 @@
     Move(u64),
     Leaving,
     Counts,
+    /// The time of somebody who waits at the door is up.
+    Door,
     /// An override begins, ends or goes on rising.
     Overrides,
     /// Connections are moved off servers that were taken out.
@@ -322,6 +346,7 @@
     balancer: Balancer,
     farm: Farm,
     ledger: Ledger,
+    gate: Gate,
     /// What is due when; the middle number keeps the order in which equal moments were set.
     timers: BinaryHeap<Reverse<(Nanos, u64, Due)>>,
     set: u64,
@@ -372,8 +397,9 @@
             Event::Ended(id, outcome, took) => self.ended(id, outcome, took),
             Event::Noted(id, note) => self.noted(id, note),
             Event::Left(id) | Event::Lost(id) => {
-                if self.ledger.close(id).is_some() {
+                if let Some(transaction) = self.ledger.close(id) {
                     self.ledger.counts.left += 1;
+                    self.missed(&transaction, Some(Miss::Left));
                     self.decide(api::Event::ClientLeft(RequestId(id)));
                 }
             }
@@ -383,6 +409,11 @@
                 self.decide(failed);
             }
             Event::Terminate => self.leave(),
+            Event::Door(config) => {
+                self.gate.configure(config);
+                self.give_turns();
+            }
+            Event::Shares(listed) => self.gate.list_shares(listed),
             Event::Overrides(changes, answer) => self.take_overrides(changes, answer),
             Event::Look(answer) => {
                 // Nobody waits any more if this fails.
@@ -407,15 +438,17 @@
     // ---- book ----
 
     fn established(&mut self, id: u64) {
-        let Some((attempt, server, held)) = self.ledger.stands(id) else { return };
+        let now = self.clock.now();
+        let Some(Stands { attempt, server, held, class, took }) = self.ledger.stands(id, now) else { return };
         if held {
             let Some(arrival) = self.ledger.restart(id) else { return };
             self.decide(api::Event::Standing { arrival, server });
         } else {
+            self.gate.stands(class, took);
             self.decide(api::Event::Established { request: RequestId(id), attempt });
         }
         if self.leaving_since.is_some() {
-            self.ledger.order(id, Order::Move);
+            self.order_move(id);
         }
     }
 
@@ -459,6 +492,7 @@
             standing: standing.values().sum(),
             farm: self.farm.look(&standing),
             judgement: self.judgement.clone(),
+            door: self.gate.look(self.clock.now()),
             overrides_lost: self.overrides_lost,
         }
     }
@@ -475,13 +509,15 @@
         match due {
             Due::Module(timer) => self.decide(api::Event::Timer(timer)),
             Due::Held(id) => self.reopen(id),
-            Due::Move(id) => self.ledger.order(id, Order::Move),
+            Due::Move(id) => self.order_move(id),
             Due::Leaving => self.go_on_leaving(),
+            Due::Door => self.door_is_due(),
             Due::Overrides => self.overrides_are_due(),
             Due::Moves => self.go_on_moving(),
             Due::Counts => {
                 let look = self.look();
                 self.tell_counts(&look);
+                self.tell_over_share();
                 self.wake(COUNTS_PERIOD, Due::Counts);
             }
         }
@@ -493,6 +529,7 @@
         info!(
             part = self.name,
             open = look.open,
+            waiting = look.door.waiting,
             standing = look.standing,
             opened = counts.opened,
             served = counts.served,
--- a/balancer/src/core/overrides.rs
+++ b/balancer/src/core/overrides.rs
@@ -12,7 +12,7 @@
 use tracing::{error, info, warn};
 
 use super::farm::Mark;
-use super::{Core, Due, Order};
+use super::{Core, Due};
 
 /// Moves are looked for no more often than this. Guards against a core that is busy with nothing else.
 const LEAST_WAIT: Duration = Duration::from_millis(20);
@@ -137,14 +137,14 @@
             return;
         }
         let now = self.now_ms();
-        let mut wait = LONGEST_WAIT;
+        let (mut wait, mut moved) = (LONGEST_WAIT, Vec::new());
         for (server, (_, pace)) in &mut self.moves {
             let there: Vec<u64> = self.ledger.movable_at(*server).collect();
-            for id in there.iter().take(pace.due(now, there.len())) {
-                self.ledger.order(*id, Order::Move);
-            }
+            let due = pace.due(now, there.len());
+            moved.extend(there.into_iter().take(due));
             wait = wait.min(Duration::from_millis(pace.wait()));
         }
+        moved.into_iter().for_each(|id| self.order_move(id));
         self.wake(wait.max(LEAST_WAIT), Due::Moves);
     }
 }
@@ -179,7 +179,8 @@
     fn core(clock: Clock, overrides: Set) -> Core {
         let setup = serde_json::from_str(SETTINGS).expect("settings");
         let (known, watch) = (list(&row("s0")), crossbeam_channel::unbounded().0);
-        let start = Start { name: "core", setup, seed: 7, clock, known, watch, overrides };
+        let start =
+            Start { name: "core", setup, seed: 7, clock, known, watch, overrides, door: Default::default() };
         build(start).expect("sound settings").1
     }
 
--- a/balancer/src/core/route.rs
+++ b/balancer/src/core/route.rs
@@ -6,14 +6,21 @@
 
 use beaconflow::Balancer;
 use beaconflow::api::{self, Action};
+use beaconflow_admission::Miss;
 use tracing::{error, info};
 
-use super::ledger::Place;
+use super::ledger::{Place, Transaction};
 use super::{Core, Due, Order};
 
 impl Core {
-    /// Hands an event to the module and carries out what it decides.
+    /// Hands an event to the module, carries out what it decides, and gives turns to those who wait.
     pub(super) fn decide(&mut self, event: api::Event) {
+        self.handle(event);
+        self.give_turns();
+    }
+
+    /// Hands an event to the module and carries out what it decides.
+    pub(super) fn handle(&mut self, event: api::Event) {
         let now = self.clock.now();
         let mut actions = std::mem::take(&mut self.actions);
         let (balancer, out) = (&mut self.balancer, &mut actions);
@@ -32,8 +39,11 @@
         match action {
             Action::Attempt { request, server, timeout } => match self.farm.get(server) {
                 Some(to) => {
-                    let order = Order::Pass { to, within: Duration::from_nanos(timeout) };
-                    self.ledger.pass(request.0, server, order);
+                    let (now, order) =
+                        (self.clock.now(), Order::Pass { to, within: Duration::from_nanos(timeout) });
+                    if let Some((entry, waited)) = self.ledger.pass(request.0, server, order, now) {
+                        self.gate.admitted(now, &entry, waited);
+                    }
                 }
                 None => self.answer(request.0, Order::Failed),
             },
@@ -41,7 +51,12 @@
                 self.answer(request.0, Order::Unavailable(retry_after.map(Duration::from_nanos)));
             }
             Action::Fail(request) => self.answer(request.0, Order::Failed),
-            Action::Move(request) => self.ledger.order(request.0, Order::Move),
+            Action::Move(request) => self.order_move(request.0),
+            Action::Wait(request) => {
+                if let Some(entry) = self.ledger.get(request.0).map(|transaction| transaction.entry) {
+                    self.gate.wait(entry);
+                }
+            }
             Action::Wake { after, timer } => self.wake(Duration::from_nanos(after), Due::Module(timer)),
             // A real farm has no probes: the settings that allow them are the simulator's.
             Action::Probe(_) => {}
@@ -57,7 +72,27 @@
             _ => self.ledger.counts.failed += 1,
         }
         self.ledger.order(id, order);
-        self.ledger.close(id);
+        if let Some(transaction) = self.ledger.close(id) {
+            self.missed(&transaction, None);
+        }
+    }
+
+    /// A transaction is over and waits no more; if it never had an attempt, that is counted.
+    pub(super) fn missed(&mut self, transaction: &Transaction, how: Option<Miss>) {
+        self.gate.leave(transaction.entry.id);
+        if transaction.never_passed() {
+            let late = transaction.late || self.clock.now() >= transaction.give_up_at;
+            let how = how.unwrap_or(if late { Miss::GivenUp } else { Miss::Refused });
+            self.gate.missed(&transaction.entry, how);
+        }
+    }
+
+    /// Tells a client to move, and remembers it for when it comes again.
+    pub(super) fn order_move(&mut self, id: u64) {
+        self.ledger.order(id, Order::Move);
+        if let Some(key) = self.ledger.get(id).and_then(|transaction| transaction.opening.key) {
+            self.gate.told_to_move(self.clock.now(), key);
+        }
     }
 
     /// Guards against a module that panicked and left its books half written: a new one takes over what stands,
--- a/balancer/src/front/nats/tenants.rs
+++ b/balancer/src/front/nats/tenants.rs
@@ -37,10 +37,18 @@
     pub class: String,
     /// Most connections at this balancer.
     pub connections: usize,
+    /// Its part of the turns at the door, against the other tenants'.
+    #[serde(default = "usual_share")]
+    pub share: f64,
     /// Who it is to the NATS servers.
     pub upstream: Identity,
 }
 
+/// The share of a tenant whose record was written without one.
+pub fn usual_share() -> f64 {
+    1.0
+}
+
 /// Who a tenant is to the NATS servers.
 #[derive(Clone, Serialize, Deserialize)]
 pub struct Identity {
--- a/balancer/src/front/platform.rs
+++ b/balancer/src/front/platform.rs
@@ -84,6 +84,7 @@
         let mut names = HashSet::new();
         let (mut class, mut wait) = (None, None);
         let (mut group, mut tenant, mut load, mut held_by) = (None, None, None, None);
+        let mut again = false;
         for pair in list.split(',') {
             let (name, value) = pair.split_once('=').ok_or("a field without a value")?;
             if name.is_empty() || value.is_empty() {
@@ -95,7 +96,7 @@
             match name {
                 "c" => class = Some(self.setup.class(value).ok_or("no such class")?),
                 "t" if !self.setup.knows_tenant(value) => return Err("no such tenant"),
-                "t" => tenant = Some(digest(value)),
+                "t" => tenant = Some(value),
                 "d" => {
                     let digits = value.bytes().all(|byte| byte.is_ascii_digit());
                     let millis = value.parse().ok().filter(|_| digits).map(Duration::from_millis);
@@ -109,6 +110,7 @@
                     load = Some(guess.ok_or("no load")?);
                 }
                 "r" | "again" if !matches!(value, "0" | "1") => return Err("a mark that is none"),
+                "again" => again = value == "1",
                 "at" => held_by = Some(value.to_owned()),
                 _ => {}
             }
@@ -120,8 +122,20 @@
         let patience = if held_by.is_some() { patience } else { patience.min(self.setup.patience(class)) };
         // Last, so that nothing refused takes an id.
         let id = OpenId::take(id, &self.open).ok_or("the id of an open request")?;
-        let opening =
-            Opening { class, key: Some(digest(key)), group, tenant, load, taken_at: now, patience, held_by };
+        let opening = Opening {
+            class,
+            key: Some(digest(key)),
+            group,
+            tenant: tenant.map(digest),
+            account: tenant.map(Arc::from),
+            share: None,
+            again,
+            bytes: line.len(),
+            load,
+            taken_at: now,
+            patience,
+            held_by,
+        };
         Ok((opening, Greeting { line: line.to_vec(), wait, _id: id }))
     }
 }
--- a/balancer/src/operator.rs
+++ b/balancer/src/operator.rs
@@ -6,12 +6,15 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
-use beaconflow_overrides::Limits;
+use beaconflow_admission::{Bound, Limits};
+use beaconflow_overrides::Limits as OverrideLimits;
 use beaconflow_settings::Setup;
 use serde::de::DeserializeOwned;
 use toml::{Table, Value};
 
+use crate::core::DoorConfig;
 use crate::farm::{Lifecycle, List, Listed};
 use crate::front::nats::framing::LONGEST_LINE;
 use crate::front::nats::wire::Wire;
@@ -22,6 +25,8 @@
 const PLACEHOLDER: &str = "CHANGE-ME";
 /// Least length of the token.
 const SHORTEST_TOKEN: usize = 16;
+/// Fewest bytes that may wait at the door: one entry fits.
+const LEAST_BYTES: usize = 4_096;
 /// Longest span that an override may be granted: ten years.
 const MOST_LONGEST_S: u64 = 10 * 366 * 24 * 3_600;
 
@@ -34,6 +39,8 @@
     pub admin: Option<Admin>,
     /// Overrides.
     pub overrides: overrides::Config,
+    /// Admission.
+    pub admission: DoorConfig,
     /// The form of the log's lines.
     pub log: Form,
 }
@@ -130,6 +137,7 @@
             nats: nats(&mut file),
             admin: file.section("admin").and_then(admin),
             overrides: file.section("overrides").map(overrides).unwrap_or_default(),
+            admission: file.section("admission").map(admission).unwrap_or_default(),
             log: file.section("log").map(log).unwrap_or_default(),
         };
         file.end();
@@ -244,7 +252,7 @@
 }
 
 fn overrides(mut section: Section<'_>) -> overrides::Config {
-    let usual = Limits::default();
+    let usual = OverrideLimits::default();
     let file: Option<PathBuf> = section.table.contains_key("file").then(|| section.need("file")).flatten();
     let longest_s: u64 = section.or("longest_s", usual.longest / 1_000);
     let most = section.or("most", usual.most);
@@ -253,10 +261,49 @@
     section.refuse("most", most == 0, "at least 1");
     section.refuse("ramp_s", !(0.0..=3_600.0).contains(&ramp_s), "from 0 to 3600");
     section.end();
-    let limits = Limits { longest: longest_s.saturating_mul(1_000), most, ramp: (ramp_s * 1e3) as u64 };
+    let limits =
+        OverrideLimits { longest: longest_s.saturating_mul(1_000), most, ramp: (ramp_s * 1e3) as u64 };
     overrides::Config { file, limits }
 }
 
+fn admission(mut section: Section<'_>) -> DoorConfig {
+    let usual = DoorConfig::default();
+    let mut bound = |name: &str, usual: Bound| {
+        let (entries, bytes) = (format!("{name}entries"), format!("{name}bytes"));
+        let bound =
+            Bound { entries: section.or(&entries, usual.entries), bytes: section.or(&bytes, usual.bytes) };
+        section.refuse(&entries, bound.entries == 0, "at least 1");
+        section.refuse(&bytes, bound.bytes < LEAST_BYTES, "at least 4096");
+        bound
+    };
+    let all = bound("", usual.limits.all);
+    let account = bound("account_", all);
+    let queue =
+        bound("queue_", Bound { entries: account.entries.min(usual.limits.queue.entries), ..account });
+    let (queues, hand) = (section.or("queues", usual.limits.queues), section.or("hand", usual.limits.hand));
+    section.refuse("queues", !(1..=1_024).contains(&queues), "from 1 to 1024");
+    section.refuse("hand", !(1..=queues.min(16)).contains(&hand), "from 1 to 16 and to queues");
+    let over_share_s: f64 = section.or("over_share_s", usual.over_share.as_secs_f64());
+    let span_is_bad = !(1.0..=86_400.0).contains(&over_share_s);
+    section.refuse("over_share_s", span_is_bad, "from 1 to 86400");
+    let mut shares = Vec::new();
+    if let Some(mut listed) = section.section("shares") {
+        let names: Vec<String> = listed.table.keys().cloned().collect();
+        for name in names {
+            let share: Option<f64> = listed.need(&name);
+            let bad = share.is_some_and(|share| !(0.001..=1e6).contains(&share));
+            listed.refuse(&name, bad, "from 0.001 to 1000000");
+            shares.extend(share.map(|share| (name, share)));
+        }
+    }
+    section.end();
+    DoorConfig {
+        limits: Limits { all, account, queue, queues, hand },
+        shares,
+        over_share: if span_is_bad { usual.over_share } else { Duration::from_secs_f64(over_share_s) },
+    }
+}
+
 fn log(mut section: Section<'_>) -> Form {
     let form: String = section.or("form", "text".to_owned());
     section.refuse("form", !matches!(form.as_str(), "text" | "json"), "text or json");
--- a/balancer/src/reload.rs
+++ b/balancer/src/reload.rs
@@ -9,9 +9,12 @@
 use tracing::{error, info, warn};
 
 use crate::config::Config;
-use crate::core::{Event, Handle};
+use beaconflow_admission::Limits;
+
+use crate::core::{DoorConfig, Event, Handle};
 use crate::farm::{News, Target};
 use crate::operator::{FarmSource, Nats, Operator};
+use crate::overrides::NamedCore;
 
 /// How many descriptors a front's connections may hold; a reload may change it.
 pub type Sockets = Arc<AtomicUsize>;
@@ -26,6 +29,8 @@
         target: Target,
         /// The descriptors.
         sockets: Sockets,
+        /// Its core, which is told of other shares.
+        core: Handle,
     },
     /// The operator's file, and the NATS front where it sets one up.
     Operator {
@@ -39,8 +44,8 @@
         target: Option<Target>,
         /// The front's descriptors.
         sockets: Sockets,
-        /// Its core, which is told of a farm that stands in the file.
-        core: Option<Handle>,
+        /// The cores, which are told of admission; the NATS front's also of a farm that stands in the file.
+        cores: Vec<NamedCore>,
         /// Reloads of that farm so far.
         farms: u64,
     },
@@ -70,7 +75,7 @@
     }
 
     fn platform(&mut self) -> Result<Changes, String> {
-        let Reload::Platform { file, target, sockets } = self else { return Ok(Changes::default()) };
+        let Reload::Platform { file, target, sockets, core } = self else { return Ok(Changes::default()) };
         let new = Config::read()?;
         let mut changes = Changes::default();
         if new.discovery != file.discovery {
@@ -79,6 +84,13 @@
         changes.sockets(sockets, (file.limits.sockets, new.limits.sockets));
         changes.fixed("name", file.name == new.name);
         changes.fixed("listen", file.listen == new.listen);
+        if !file.settings.shares().eq(new.settings.shares()) {
+            core.tell(Event::Shares(
+                new.settings.shares().map(|(name, share)| (name.into(), share)).collect(),
+            ));
+            file.settings = file.settings.with_shares_of(&new.settings);
+            changes.taken.push("shares".into());
+        }
         changes.fixed("settings", file.settings == new.settings);
         // What takes a restart is told at each reload until it has had one.
         (file.discovery, file.limits) = (new.discovery, new.limits);
@@ -86,7 +98,7 @@
     }
 
     fn operator(&mut self) -> Result<Changes, String> {
-        let Reload::Operator { path, others, file, target, sockets, core, farms } = self else {
+        let Reload::Operator { path, others, file, target, sockets, cores, farms } = self else {
             return Ok(Changes::default());
         };
         let read = Operator::read(path).map_err(|faults| faults.to_string())?;
@@ -95,6 +107,18 @@
         changes.fixed("admin", others.admin == read.admin);
         changes.fixed("overrides", others.overrides == read.overrides);
         changes.fixed("log", others.log == read.log);
+        let (old, new) = (&mut others.admission, read.admission);
+        changes.fixed("admission.queues", old.limits.queues == new.limits.queues);
+        changes.fixed("admission.hand", old.limits.hand == new.limits.hand);
+        let taken = DoorConfig {
+            limits: Limits { queues: old.limits.queues, hand: old.limits.hand, ..new.limits },
+            ..new
+        };
+        if *old != taken {
+            *old = taken.clone();
+            cores.iter().for_each(|(_, core)| core.tell(Event::Door(taken.clone())));
+            changes.taken.push("admission".into());
+        }
         let (Some(new), Some(file)) = (read.nats, file) else {
             return Ok(changes);
         };
@@ -103,7 +127,7 @@
             (FarmSource::Discovery(discovery), _, Some(target)) => changes.discovery(target, *discovery),
             (FarmSource::Servers(_), FarmSource::Servers(_), _) => {
                 *farms += 1;
-                if let Some(core) = core {
+                if let Some((_, core)) = cores.iter().find(|(front, _)| *front == "nats") {
                     core.tell(Event::Farm(News::List(new.farm.list(1 + *farms))));
                 }
                 changes.taken.push("farm".into());
--- a/balancer/src/serve.rs
+++ b/balancer/src/serve.rs
@@ -15,7 +15,7 @@
 use crate::admin::Admin;
 use crate::clock::Clock;
 use crate::config::Config;
-use crate::core::{self, Event, Handle, Start};
+use crate::core::{self, DoorConfig, Event, Handle, Start};
 use crate::farm::{Target, Watcher};
 use crate::front::nats::Nats as Front;
 use crate::front::nats::tenants::Tenants;
@@ -59,17 +59,18 @@
     let restored = operator.as_ref().filter(|(_, operator)| operator.admin.is_some());
     let restored = restored.map(|(_, operator)| overrides::restore(&operator.overrides, clock));
     let set = restored.as_ref().map(|restored| restored.set.clone()).unwrap_or_default();
+    let door = operator.as_ref().map(|(_, operator)| operator.admission.clone()).unwrap_or_default();
     let (mut serving, mut reloads) = (Vec::new(), Vec::new());
     // The platform starts a balancer without a word; an operator's file may stand alone.
     if operator.is_none() || on_platform {
-        let (front, reload) = start_platform(Config::read()?, clock, &set)?;
+        let (front, reload) = start_platform(Config::read()?, clock, &set, &door)?;
         serving.push(front);
         reloads.push(reload);
     }
     if let Some((path, operator)) = operator {
         let mut nats = None;
         if let Some(file) = &operator.nats {
-            let (front, parts) = start_nats(file, clock, &set)?;
+            let (front, parts) = start_nats(file, clock, &set, &door)?;
             serving.push(front);
             nats = Some(parts);
         }
@@ -85,11 +86,10 @@
             start_admin(admin, &keeper, &cores, nats.as_ref())?;
             spawn("overrides", move || keeper.run())?;
         }
-        let core = cores.iter().find(|(front, _)| *front == "nats").map(|(_, core)| core.clone());
         let (target, sockets) = nats.map(|nats| (nats.target, nats.sockets)).unwrap_or_default();
         let file = operator.nats.clone().map(Box::new);
         let others = Box::new(operator);
-        reloads.push(Reload::Operator { path, others, file, target, sockets, core, farms: 0 });
+        reloads.push(Reload::Operator { path, others, file, target, sockets, cores, farms: 0 });
     }
     let told: Vec<Handle> = serving.iter().map(|front| front.core.clone()).collect();
     spawn("signals", move || {
@@ -116,24 +116,34 @@
     Ok(())
 }
 
-fn start_platform(file: Config, clock: Clock, overrides: &Set) -> Result<(Serving, Reload), String> {
+fn start_platform(
+    file: Config,
+    clock: Clock,
+    overrides: &Set,
+    door: &DoorConfig,
+) -> Result<(Serving, Reload), String> {
     let config = file.clone().overruled()?;
     let (watcher, watch) = Watcher::new(config.discovery, config.known.generation);
     let target = watcher.target();
     let seed = config.seed();
     let setup = config.settings;
     let front = Arc::new(Platform::new(Arc::new(setup.clone())));
-    let start =
-        Start { name: "core", setup, seed, clock, known: config.known, watch, overrides: overrides.clone() };
+    let (known, overrides, door) = (config.known, overrides.clone(), door.clone());
+    let start = Start { name: "core", setup, seed, clock, known, watch, overrides, door };
     let (core, thread) = start_core(start, Some(watcher))?;
     let sockets = Sockets::new(config.limits.sockets.into());
     start_front(front, config.listen, Arc::clone(&sockets), &core)?;
     info!(part = "main", front = "platform", name = config.name, on = %config.listen, "serves");
-    let reload = Reload::Platform { file: Box::new(file), target, sockets };
+    let reload = Reload::Platform { file: Box::new(file), target, sockets, core: core.clone() };
     Ok((Serving { front: "platform", core, thread }, reload))
 }
 
-fn start_nats(nats: &Nats, clock: Clock, overrides: &Set) -> Result<(Serving, NatsParts), String> {
+fn start_nats(
+    nats: &Nats,
+    clock: Clock,
+    overrides: &Set,
+    door: &DoorConfig,
+) -> Result<(Serving, NatsParts), String> {
     let setup = Arc::new(nats.settings.clone());
     let tenants = Arc::new(Tenants::new(&nats.store.url, Duration::from_millis(nats.store.fresh_ms))?);
     let (watcher, watch) = match nats.farm {
@@ -144,9 +154,9 @@
         FarmSource::Servers(_) => (None, crossbeam_channel::unbounded().0),
     };
     let target = watcher.as_ref().map(Watcher::target);
-    let (seed, known, overrides) = (clock.now(), nats.farm.list(1), overrides.clone());
-    let start =
-        Start { name: "nats-core", setup: Setup::clone(&setup), seed, clock, known, watch, overrides };
+    let (seed, known) = (clock.now(), nats.farm.list(1));
+    let (overrides, door, setup_) = (overrides.clone(), door.clone(), Setup::clone(&setup));
+    let start = Start { name: "nats-core", setup: setup_, seed, clock, known, watch, overrides, door };
     let (core, thread) = start_core(start, watcher)?;
     let front = Arc::new(Front::new(nats.name.clone(), Arc::clone(&setup), Arc::clone(&tenants), nats.wire));
     let sockets = Sockets::new(nats.sockets.into());
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -70,6 +70,8 @@
 struct Project {
     #[serde(default)]
     name: String,
+    #[serde(default)]
+    share: Option<f64>,
 }
 
 #[derive(Clone, Debug, PartialEq, Deserialize, Default)]
@@ -150,6 +152,19 @@
         self.projects.is_empty() || self.projects.iter().any(|project| project.name == name)
     }
 
+    /// The tenants of the site and their parts of the service, where they are given and make sense.
+    pub fn shares(&self) -> impl Iterator<Item = (&str, f64)> {
+        let sound = |share: &f64| share.is_finite() && *share > 0.0;
+        self.projects
+            .iter()
+            .filter_map(move |project| Some((project.name.as_str(), project.share.filter(sound)?)))
+    }
+
+    /// The same settings with another's shares.
+    pub fn with_shares_of(&self, other: &Setup) -> Setup {
+        Setup { projects: other.projects.clone(), ..self.clone() }
+    }
+
     /// The place of the zone with this name.
     pub fn zone(&self, name: &str) -> Option<u32> {
         let place = self.zones.iter().position(|zone| zone == name)?;
--- a/src/api.rs
+++ b/src/api.rs
@@ -84,6 +84,13 @@
     pub worth: f64,
 }
 
+impl Class {
+    /// Its part of the turns at the door: what one is worth, for each second in which it is wanted.
+    pub fn urgency(&self) -> f64 {
+        self.worth / (self.aim as f64 / 1e9)
+    }
+}
+
 /// How changes of the server list reach this gateway.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Discovery {
@@ -373,6 +380,15 @@
     },
     /// The client left; nothing is owed any more.
     ClientLeft(RequestId),
+    /// A request that was to wait at the door has its turn.
+    Turn(RequestId),
+    /// There is no room at the door for a request that was to wait there, or it can't have its turn in time.
+    TurnedAway {
+        /// The request.
+        request: RequestId,
+        /// How long the line takes in which it would wait; nothing if that is not known.
+        drain: Option<Nanos>,
+    },
     /// An operator wants a waiting request elsewhere than before, or nowhere in particular.
     Pinned {
         /// The request.
@@ -405,6 +421,9 @@
     },
     /// Final answer: failed, with no promise.
     Fail(RequestId),
+    /// Too many set-ups are under way: the request waits at the door for [`Event::Turn`], or until it is answered. It is
+    /// due as soon as [`crate::Balancer::has_turns`].
+    Wait(RequestId),
     /// End a standing connection politely; its client comes again.
     Move(RequestId),
     /// Call back with [`Event::Timer`].
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -106,21 +106,30 @@
             Event::Arrived(arrival) => self.on_arrival(now, arrival, out),
             Event::Standing { arrival, .. } if !self.settings.knows(arrival.class) => {}
             Event::Standing { arrival, server } => self.books.open(arrival, Some(server)),
-            Event::Established { request, attempt } => self.on_established(now, request, attempt, out),
+            Event::Established { request, attempt } => self.on_established(now, request, attempt),
             Event::Noted { request, attempt, note } => self.on_note(now, request, attempt, note, out),
             Event::Ended { request, attempt, outcome, closed, .. } => {
                 self.on_ended(now, request, (attempt, outcome, closed), out);
             }
             Event::Probed { server, load } => self.on_probed(now, server, load, out),
-            Event::ClientLeft(request) => {
-                self.books.forget(request);
-                self.serve_queue(now, out);
+            Event::ClientLeft(request) => self.books.forget(request),
+            Event::Turn(request) if self.books.waits(request) => self.place(now, request, out),
+            Event::TurnedAway { request, drain } if self.books.waits(request) => {
+                self.books.turn_away(request, drain);
+                self.give_up(request, out);
             }
+            Event::Turn(_) | Event::TurnedAway { .. } => {}
             Event::Pinned { request, pin } => self.books.pin(request, pin),
             Event::Timer(timer) => self.on_timer(now, timer, out),
         }
     }
 
+    /// Whether one that waits at the door can have its turn now. Guards against set-ups that all fail on
+    /// something that the servers share: repeats and comebacks would keep it overrun.
+    pub fn has_turns(&self) -> bool {
+        (self.books.passes_out() as f64) < self.tally.window.get()
+    }
+
     // ---- the server list ----
 
     fn on_list(&mut self, now: Nanos, kind: ListKind, entries: Vec<Entry>, out: &mut Vec<Action>) {
@@ -194,9 +203,9 @@
         if self.books.load_of_all() + self.wanted(request) > self.books.ceiling {
             return self.back_off(now, id, out);
         }
-        if self.books.passes_out() as f64 >= self.tally.window.get() {
+        if !self.has_turns() {
             let left = request.arrival.give_up_at - now;
-            self.books.queue(id);
+            out.push(Action::Wait(id));
             return self.wake_for(id, left, out);
         }
         let Some(server) = self.next_in_turn(now, id) else { return self.back_off(now, id, out) };
@@ -243,22 +252,12 @@
         if last || class.repeat != Repeat::Safe { left } else { left.min(short) }
     }
 
-    fn on_established(&mut self, now: Nanos, id: RequestId, attempt: u32, out: &mut Vec<Action>) {
+    fn on_established(&mut self, now: Nanos, id: RequestId, attempt: u32) {
         let Some((server, false)) = self.books.current(id, attempt) else { return };
         self.count_warm(now, server);
         self.books.stands(id, server);
         self.succeeded(id, server);
         self.tally.window.grow();
-        self.serve_queue(now, out);
-    }
-
-    /// Places those that wait for a set-up to end, as far as the window allows. Guards against set-ups that
-    /// all fail on something that the servers share: repeats and comebacks would keep it overrun.
-    fn serve_queue(&mut self, now: Nanos, out: &mut Vec<Action>) {
-        while (self.books.passes_out() as f64) < self.tally.window.get() {
-            let Some(next) = self.books.unqueue() else { return };
-            self.place(now, next, out);
-        }
     }
 
     /// A connection that stands clears its client's n and wins back some of its server's standing.
@@ -314,7 +313,6 @@
             self.tally.window.cut(now);
         }
         self.back_off(now, id, out);
-        self.serve_queue(now, out);
     }
 
     /// Waits a jittered delay before the next attempt; gives up at once if that would outlast the time
@@ -344,7 +342,8 @@
             let n = self.books.failures_of(request);
             let aim = self.settings.classes[request.arrival.class.0].aim;
             let (told, longest) = (self.settings.limits.retry_after, self.settings.limits.max_retry_after);
-            let retry_after = told.then(|| self.jittered(n, aim.min(longest), longest));
+            let base = request.drain.unwrap_or(aim);
+            let retry_after = told.then(|| self.jittered(n, base.min(longest), longest));
             self.tally.refused += 1;
             out.push(Action::Refuse { request: id, retry_after });
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What a gateway remembers: plain records and their sums. Nothing is decided here; see `rules.rs`.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::api::*;
 
@@ -94,6 +94,8 @@
     asks: Option<ServerId>,
     /// The timer that it waits for.
     timer: Option<TimerId>,
+    /// How long the line at the door takes that there was no room in for it.
+    pub(crate) drain: Option<Nanos>,
 }
 
 /// What a timer is for.
@@ -209,8 +211,6 @@
     groups: BTreeMap<GroupId, BTreeMap<ServerId, u32>>,
     /// Ready servers in the order of each group met since the list last changed.
     orders: BTreeMap<GroupId, Vec<ServerId>>,
-    /// Requests that wait for a set-up to end, the first come first.
-    queue: VecDeque<RequestId>,
     /// Set-ups under way.
     out: usize,
     timers: BTreeMap<TimerId, Due>,
@@ -299,13 +299,11 @@
         let (ready, refused) = (tally.ready, tally.refused);
         let strained = self.ready().filter(|server| server.strained_within(now, LOG_STRAIN)).count();
         let failing = self.ready().filter(|server| server.strikes >= LOG_STRIKES).count();
-        // Whether the line at the door is what holds requests up.
-        let (waiting, out, window) = (self.queue.len(), self.out, tally.window.get());
-        if strained == 0 && failing == 0 && refused == 0 && waiting == 0 {
+        if strained == 0 && failing == 0 && refused == 0 {
             return None;
         }
         tally.refused = 0;
-        let door = format!("waiting {waiting}, under way {out} of {window:.0}");
+        let door = format!("under way {} of {:.0}", self.out, tally.window.get());
         Some(format!("ready {ready}, strained {strained}, failing {failing}, refused {refused}, {door}"))
     }
 
@@ -388,6 +386,7 @@
             asked: 0,
             asks: None,
             timer: None,
+            drain: None,
         };
         self.requests.insert(id, request);
         if let Some(server) = held_by {
@@ -488,17 +487,15 @@
         self.out
     }
 
-    pub(crate) fn queue(&mut self, id: RequestId) {
-        self.queue.push_back(id);
+    /// Whether a request waits for an attempt.
+    pub(crate) fn waits(&self, id: RequestId) -> bool {
+        self.requests.get(&id).is_some_and(|request| request.phase == Phase::Waiting)
     }
 
-    /// The next that still waits for a set-up to end.
-    pub(crate) fn unqueue(&mut self) -> Option<RequestId> {
-        loop {
-            let id = self.queue.pop_front()?;
-            if self.requests.contains_key(&id) {
-                return Some(id);
-            }
+    /// Notes that there is no room for a request at the door, and how long the line takes.
+    pub(crate) fn turn_away(&mut self, id: RequestId, drain: Option<Nanos>) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.drain = drain;
         }
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses its part")]
 
+use std::collections::VecDeque;
+
 use beaconflow::Balancer;
 use beaconflow::api::*;
 
@@ -80,12 +82,14 @@
     pub now: Nanos,
     /// Timers set and not yet fired.
     pub timers: Vec<(Nanos, TimerId)>,
+    /// Those who wait at the door, the first come first.
+    pub line: VecDeque<RequestId>,
 }
 
 impl Gateway {
     pub fn new(settings: Settings) -> Gateway {
         let balancer = Balancer::new(settings, 11).expect("the settings are in range");
-        Gateway { balancer, now: SECOND, timers: Vec::new() }
+        Gateway { balancer, now: SECOND, timers: Vec::new(), line: VecDeque::new() }
     }
 
     /// A gateway that has heard of `count` servers.
@@ -95,17 +99,27 @@
         gateway
     }
 
-    /// Hands one event over; timers are kept, the other actions returned.
+    /// Hands one event over and gives the turns that there are; timers and the line are kept, the other actions
+    /// returned.
     pub fn tell(&mut self, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
-        self.balancer.handle(self.now, event, &mut actions);
-        actions.retain(|action| match action {
-            Action::Wake { after, timer } => {
-                self.timers.push((self.now + after, *timer));
-                false
-            }
-            _ => true,
-        });
+        let mut next = Some(event);
+        while let Some(event) = next {
+            self.balancer.handle(self.now, event, &mut actions);
+            actions.retain(|action| match action {
+                Action::Wake { after, timer } => {
+                    self.timers.push((self.now + after, *timer));
+                    false
+                }
+                Action::Wait(request) => {
+                    self.line.push_back(*request);
+                    false
+                }
+                _ => true,
+            });
+            let turn = if self.balancer.has_turns() { self.line.pop_front() } else { None };
+            next = turn.map(Event::Turn);
+        }
         actions
     }
 
--- a/tests/invariants.rs
+++ b/tests/invariants.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use beaconflow::Balancer;
 use beaconflow::api::*;
@@ -30,15 +30,21 @@
     timers: Vec<(Nanos, TimerId)>,
     probes: Vec<ServerId>,
     log: Vec<Action>,
+    /// Those who wait at the door, which has room for a few.
+    line: VecDeque<RequestId>,
 }
 
+/// More give way, the last come first.
+const MOST_WAITING: usize = 3;
+
 impl World {
     fn new(may_probe: bool) -> World {
         let mut settings = settings();
         settings.limits.may_probe = may_probe;
         let balancer = Balancer::new(settings, 5).expect("in range");
         let (seen, states, timers) = (BTreeMap::new(), BTreeMap::new(), Vec::new());
-        World { balancer, now: SECOND, seen, states, timers, probes: Vec::new(), log: Vec::new() }
+        let (probes, log, line) = (Vec::new(), Vec::new(), VecDeque::new());
+        World { balancer, now: SECOND, seen, states, timers, probes, log, line }
     }
 
     fn tell(&mut self, event: Event) {
@@ -48,6 +54,16 @@
             self.check(action);
         }
         self.log.extend(actions);
+        if self.line.len() > MOST_WAITING {
+            let request = self.line.pop_back().expect("somebody waits");
+            let over = self.seen[&request.0].over;
+            self.tell(Event::TurnedAway { request, drain: Some(SECOND / 4) });
+            assert!(over || self.seen[&request.0].over, "answered at once");
+        } else if self.balancer.has_turns()
+            && let Some(request) = self.line.pop_front()
+        {
+            self.tell(Event::Turn(request));
+        }
     }
 
     fn check(&mut self, action: &Action) {
@@ -82,6 +98,12 @@
                 assert!(!seen.over && seen.out.is_none(), "{action:?}");
                 seen.over = true;
             }
+            Action::Wait(request) => {
+                let seen = &self.seen[&request.0];
+                assert!(!seen.over && !seen.stood && seen.out.is_none(), "{action:?}");
+                assert!(!self.balancer.has_turns() && !self.line.contains(request), "{action:?}");
+                self.line.push_back(*request);
+            }
             Action::Wake { after, timer } => self.timers.push((self.now + after, *timer)),
             Action::Move(request) => self.seen.get_mut(&request.0).expect("came").over = true,
             Action::Probe(server) => {
