Admission is seen from outside: GET /v1/admission, beaconflow admission, stories of both fronts

Need: nobody could see who waits at the door or what an account gets, and no test had provoked a flood.

--- a/admission/src/door.rs
+++ b/admission/src/door.rs
@@ -266,13 +266,14 @@
         self.by_end.first().map(|(end, _)| *end)
     }
 
-    /// How many turns of its account one more such entry would wait for: as many of each queue as its own is long.
+    /// How many turns of its account one more such entry would wait for, its own included: as many of each queue as its
+    /// own is long.
     pub fn ahead_of(&self, entry: &Entry) -> usize {
-        let Some(slot) = self.by_name.get(&entry.account).copied() else { return 0 };
+        let Some(slot) = self.by_name.get(&entry.account).copied() else { return 1 };
         let entry = Entry { class: entry.class.min(self.urgencies.len() - 2), ..*entry };
         let own = self.slab.queues[self.queue_of(slot, &entry)].held.entries + 1;
         let account = &self.accounts[slot];
-        account.waiting.entries.min(own.saturating_mul(account.lengths.len()))
+        1 + account.waiting.entries.min(own.saturating_mul(account.lengths.len()))
     }
 
     /// The place of an entry's account, which is made if there is none. Guards against memory that grows with every
@@ -327,13 +328,11 @@
         None
     }
 
-    /// The queue that an entry goes to: the shortest of a hand that its flow is dealt. The deal is keyed by the seed.
-    /// Guards against names that are chosen to meet in one queue, and against one loud name that fills all of them.
-    fn queue_of(&self, slot: usize, entry: &Entry) -> usize {
-        let lane = if entry.returns { self.urgencies.len() - 1 } else { entry.class };
-        let base = (slot * self.urgencies.len() + lane) * self.limits.queues;
-        let mut deck = mixed(entry.flow ^ self.seed);
-        let mut best = None;
+    /// The queues of its class among which a client's entries take the shortest: the cards of a hand that its flow is
+    /// dealt. The deal is keyed by the seed. Guards against names that are chosen to meet in one queue, and against one
+    /// loud name that fills all of them.
+    pub fn hand_of(&self, flow: u64) -> impl Iterator<Item = usize> {
+        let mut deck = mixed(flow ^ self.seed);
         let mut dealt: [usize; MOST_HAND] = [usize::MAX; MOST_HAND];
         for card in 0..self.limits.hand {
             // Without repeats, as cards are dealt: the k-th of those not dealt yet.
@@ -346,12 +345,16 @@
                 pick += usize::from(pick >= *other);
             }
             dealt[card] = pick;
-            let length = self.slab.queues[base + pick].held.entries;
-            if best.is_none_or(|(least, _)| length < least) {
-                best = Some((length, base + pick));
-            }
         }
-        best.map_or(base, |(_, queue)| queue)
+        dealt.into_iter().take(self.limits.hand)
+    }
+
+    /// The queue that an entry goes to.
+    fn queue_of(&self, slot: usize, entry: &Entry) -> usize {
+        let lane = if entry.returns { self.urgencies.len() - 1 } else { entry.class };
+        let base = (slot * self.urgencies.len() + lane) * self.limits.queues;
+        let shortest = self.hand_of(entry.flow).min_by_key(|card| self.slab.queues[base + card].held.entries);
+        base + shortest.unwrap_or(0)
     }
 
     fn last_of_longest(&self, slot: usize) -> Option<Place> {
--- /dev/null
+++ b/balancer/src/admin/admission.rs
@@ -0,0 +1,40 @@
+//! Admission, over the administration API.
+
+use serde_json::{Value, json};
+
+use super::farm::look;
+use super::http::Reply;
+use crate::core::{AccountLook, DoorLook};
+use crate::overrides::NamedCore;
+
+/// Who waits at each front's door, and what each account got.
+pub(super) fn read(cores: &[NamedCore]) -> Result<Reply, Reply> {
+    let fronts = cores
+        .iter()
+        .map(|core| Ok(front(core.0, &look(core)?.door)))
+        .collect::<Result<Vec<Value>, Reply>>()?;
+    Ok(Reply::new(200, json!({ "fronts": fronts })))
+}
+
+fn front(name: &str, door: &DoorLook) -> Value {
+    let limits = &door.limits;
+    json!({
+        "front": name, "waiting": door.waiting, "bytes": door.bytes,
+        "limits": {
+            "entries": limits.all.entries, "bytes": limits.all.bytes,
+            "account_entries": limits.account.entries, "account_bytes": limits.account.bytes,
+            "queue_entries": limits.queue.entries, "queue_bytes": limits.queue.bytes,
+            "queues": limits.queues, "hand": limits.hand,
+        },
+        "accounts": door.accounts.iter().map(account).collect::<Vec<Value>>(),
+    })
+}
+
+fn account(account: &AccountLook) -> Value {
+    json!({
+        "account": account.name, "due": account.due, "per_second": account.per_second,
+        "waiting": account.waiting, "asked": account.asked, "admitted": account.admitted,
+        "lent": account.lent, "refused": account.refused, "given_up": account.given_up, "left": account.left,
+        "wait_p50_ms": account.wait_p50_ms, "wait_p99_ms": account.wait_p99_ms,
+    })
+}
--- a/balancer/src/admin/farm.rs
+++ b/balancer/src/admin/farm.rs
@@ -11,7 +11,7 @@
 use crate::front::nats::tenants::Tenants;
 use crate::overrides::{Keeper, NamedCore, Shown};
 
-fn look((front, core): &NamedCore) -> Result<Look, Reply> {
+pub(super) fn look((front, core): &NamedCore) -> Result<Look, Reply> {
     core.look().ok_or_else(|| Reply::error(503, format!("the core of {front} does not answer")))
 }
 
--- a/balancer/src/admin/mod.rs
+++ b/balancer/src/admin/mod.rs
@@ -1,6 +1,7 @@
 //! The administration API: HTTP and JSON on a loopback listener of its own, opened by a bearer token. It serves
 //! whichever fronts run.
 
+mod admission;
 mod farm;
 mod http;
 mod overrides;
@@ -117,6 +118,7 @@
             (Call::Counts, "GET") => {
                 farm::counts(&self.cores, self.tenants.as_ref().map(|(tenants, _)| tenants))
             }
+            (Call::Admission, "GET") => admission::read(&self.cores),
             (Call::Farm, "GET") => farm::farm(&self.cores, &self.keeper),
             (call, _) => Err(Reply::error(405, "no such method here").with("Allow", call.methods())),
         };
@@ -137,6 +139,7 @@
     Overrides,
     Override(&'a str),
     Counts,
+    Admission,
     Farm,
 }
 
@@ -149,6 +152,7 @@
             ["v1", "overrides"] => Some(Call::Overrides),
             ["v1", "overrides", id] => Some(Call::Override(id)),
             ["v1", "counts"] => Some(Call::Counts),
+            ["v1", "admission"] => Some(Call::Admission),
             ["v1", "farm"] => Some(Call::Farm),
             _ => None,
         }
@@ -159,7 +163,7 @@
             Call::Tenants | Call::Overrides => "GET, POST",
             Call::Tenant(_) | Call::Override(_) => "GET, PATCH, DELETE",
             Call::Credentials(_) => "PUT",
-            Call::Counts | Call::Farm => "GET",
+            Call::Counts | Call::Admission | Call::Farm => "GET",
         }
     }
 }
--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -17,6 +17,11 @@
   5  the token is missing or wrong
   6  the API could not do it now; try again";
 
+const ADMISSION_EXAMPLES: &str = "Examples:
+  beaconflow admission
+  beaconflow admission --every 1s
+  beaconflow admission --json";
+
 const OVERRIDE_EXAMPLES: &str = "Examples:
   beaconflow override add out g4 --for 2h --who ada --why 'new power supply' --moves 5
   beaconflow override add weight g4 0.25 --for 30m --who ada --why 'slow disk'
@@ -59,6 +64,15 @@
         #[command(flatten)]
         to: To,
     },
+    /// Show who waits at the door and what each account got
+    #[command(after_help = ADMISSION_EXAMPLES)]
+    Admission {
+        /// Show it again every so often, as 1s or 500ms, until Ctrl-C
+        #[arg(long, value_name = "SPAN", value_parser = humantime::parse_duration)]
+        every: Option<Duration>,
+        #[command(flatten)]
+        to: To,
+    },
     /// Print completions for a shell
     #[command(after_help = "Example:\n  beaconflow completions bash > /etc/bash_completion.d/beaconflow")]
     Completions {
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -6,9 +6,10 @@
 mod args;
 mod show;
 
-use std::io::Write;
+use std::io::{IsTerminal, Write};
 use std::path::Path;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use beaconflow_balancer::log;
 use beaconflow_balancer::operator::Operator;
@@ -20,6 +21,9 @@
 use crate::api::{Api, Failure};
 use crate::args::{Args, Change, Command, OverrideCommand};
 
+/// A live table is asked for no more often.
+const SHORTEST_PERIOD: Duration = Duration::from_millis(100);
+
 fn main() -> ExitCode {
     let done = match Args::parse().command {
         Command::Serve { operator } => return serving(operator.as_deref()),
@@ -29,6 +33,7 @@
             Ok(())
         }
         Command::Override(command) => overrides(command),
+        Command::Admission { every, to } => admission(every, &to),
         Command::Farm { to } => {
             let answer = Api::new(&to).and_then(|api| api.call("GET", "/v1/farm", None, &[]));
             answer.and_then(|farm| print(to.json, &farm, show::farm))
@@ -106,6 +111,23 @@
     }
 }
 
+/// The door's table, once or again and again. A call that fails ends it: what is shown would no longer be so.
+fn admission(every: Option<Duration>, to: &args::To) -> Result<(), Failure> {
+    let api = Api::new(to)?;
+    loop {
+        let answer = api.call("GET", "/v1/admission", None, &[])?;
+        if every.is_some() && !to.json && std::io::stdout().is_terminal() {
+            // From the top of a cleared screen, as people expect of a live table.
+            print!("\x1b[H\x1b[2J");
+        }
+        print(to.json, &answer, show::admission)?;
+        match every {
+            Some(span) => std::thread::sleep(span.max(SHORTEST_PERIOD)),
+            None => return Ok(()),
+        }
+    }
+}
+
 fn change(
     method: &str,
     id: u64,
--- a/cli/src/show.rs
+++ b/cli/src/show.rs
@@ -140,3 +140,41 @@
     let warnings: String = warnings.map(|warning| format!("warning: {}\n", word(warning))).collect();
     warnings + &table.trim_fmt()
 }
+
+/// Who waits at the door, and what each account got.
+pub fn admission(answer: &Value) -> String {
+    let mut text = String::new();
+    let mut table = table([
+        "FRONT", "ACCOUNT", "DUE", "A SECOND", "WAITING", "ASKED", "ADMITTED", "LENT", "REFUSED", "GIVEN UP",
+        "LEFT", "WAIT P50", "P99",
+    ]);
+    for front in answer["fronts"].as_array().into_iter().flatten() {
+        let (limits, bytes) = (&front["limits"], front["bytes"].as_f64().unwrap_or_default() / 1024.0);
+        text.push_str(&format!(
+            "{}: {} of {} wait, {bytes:.0} of {:.0} KiB\n",
+            word(&front["front"]),
+            word(&front["waiting"]),
+            word(&limits["entries"]),
+            limits["bytes"].as_f64().unwrap_or_default() / 1024.0,
+        ));
+        for account in front["accounts"].as_array().into_iter().flatten() {
+            let number = |name: &str| account[name].as_f64().unwrap_or_default();
+            table.add_row([
+                word(&front["front"]),
+                word(&account["account"]),
+                format!("{:.1}%", number("due") * 100.0),
+                format!("{:.1}", number("per_second")),
+                word(&account["waiting"]),
+                word(&account["asked"]),
+                word(&account["admitted"]),
+                word(&account["lent"]),
+                word(&account["refused"]),
+                word(&account["given_up"]),
+                word(&account["left"]),
+                format!("{} ms", word(&account["wait_p50_ms"])),
+                format!("{} ms", word(&account["wait_p99_ms"])),
+            ]);
+        }
+    }
+    text + &table.trim_fmt()
+}
--- /dev/null
+++ b/cli/tests/support/held.rs
@@ -0,0 +1,83 @@
+//! A stand-in for an application server whose set-ups all wait until the test lets them go.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+
+use super::listener;
+
+/// Which wire it speaks.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Wire {
+    Platform,
+    Nats,
+}
+
+#[derive(Default)]
+struct State {
+    /// First words of each set-up, as they came: the OPEN line or the CONNECT line.
+    came: Vec<String>,
+    /// So many of them may stand.
+    allowed: usize,
+}
+
+/// The server.
+pub struct Held {
+    pub address: SocketAddr,
+    state: Arc<(Mutex<State>, Condvar)>,
+}
+
+impl Held {
+    pub fn start(wire: Wire) -> Held {
+        let listener: TcpListener = listener();
+        let address = listener.local_addr().expect("bound");
+        let state: Arc<(Mutex<State>, Condvar)> = Arc::default();
+        let shared = Arc::clone(&state);
+        std::thread::spawn(move || {
+            while let Ok((stream, _)) = listener.accept() {
+                let state = Arc::clone(&shared);
+                std::thread::spawn(move || serve(&stream, wire, &state));
+            }
+        });
+        Held { address, state }
+    }
+
+    /// Lets so many set-ups more stand, in the order in which they came.
+    pub fn allow(&self, more: usize) {
+        let mut state = self.state.0.lock().expect("sound");
+        state.allowed = state.allowed.saturating_add(more);
+        self.state.1.notify_all();
+    }
+
+    /// Waits until so many set-ups have come; gives their first words.
+    pub fn came(&self, count: usize) -> Vec<String> {
+        let state = self.state.0.lock().expect("sound");
+        let waits = |state: &mut State| state.came.len() < count;
+        let (state, late) = self.state.1.wait_timeout_while(state, super::PATIENCE, waits).expect("sound");
+        assert!(!late.timed_out(), "{} of {count} set-ups came", state.came.len());
+        state.came.clone()
+    }
+}
+
+/// One connection to its end. Nothing is said to a peer that has left.
+fn serve(mut stream: &TcpStream, wire: Wire, (state, changed): &(Mutex<State>, Condvar)) {
+    if wire == Wire::Nats && stream.write_all(b"INFO {\"server_id\":\"x\",\"max_payload\":1024}\r\n").is_err()
+    {
+        return;
+    }
+    let mut reader = BufReader::new(stream);
+    let mut line = String::new();
+    if reader.read_line(&mut line).unwrap_or(0) == 0 {
+        return;
+    }
+    let mut held = state.lock().expect("sound");
+    held.came.push(line.trim_end().to_owned());
+    let number = held.came.len();
+    changed.notify_all();
+    drop(changed.wait_while(held, |state| state.allowed < number).expect("sound"));
+    let word: &[u8] = if wire == Wire::Nats { b"PONG\r\n" } else { b"UP r1\r\n" };
+    if stream.write_all(word).is_ok() {
+        // What stands, stands until the other side ends it.
+        let _ = reader.read_to_end(&mut Vec::new());
+    }
+}
--- a/cli/tests/support/mod.rs
+++ b/cli/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses its part")]
 
+pub mod held;
 pub mod nats;
 
 use std::fs::Permissions;
