--- a/balancer/src/core/mod.rs
+++ b/balancer/src/core/mod.rs
@@ -9,6 +9,8 @@
 mod ledger;
 mod overrides;
 mod route;
+#[cfg(test)]
+mod testing;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -51,6 +53,8 @@
 /// Period of the core's own look at what it leaves behind, and of its log line.
 const LEAVE_TICK: Duration = Duration::from_millis(20);
 const COUNTS_PERIOD: Duration = Duration::from_secs(5);
+/// Accounts over their shares are looked for this often.
+const SHARES_PERIOD: Duration = Duration::from_secs(1);
 /// A connection that stood before this balancer's start is tried again after this long.
 const HELD_RETRY: Duration = Duration::from_millis(300);
 /// One pass for it may take this long.
@@ -329,6 +333,8 @@
     Move(u64),
     Leaving,
     Counts,
+    /// Accounts may be over their shares.
+    Shares,
     /// The time of somebody who waits at the door is up.
     Door,
     /// An override begins, ends or goes on rising.
@@ -368,6 +374,7 @@
 impl Core {
     fn run(&mut self, inbox: &Receiver<Event>) {
         self.wake(COUNTS_PERIOD, Due::Counts);
+        self.wake(SHARES_PERIOD, Due::Shares);
         loop {
             let due = self.timers.peek().map(|Reverse((at, ..))| self.clock.instant(*at));
             let event = match due {
@@ -517,9 +524,12 @@
             Due::Counts => {
                 let look = self.look();
                 self.tell_counts(&look);
-                self.tell_over_share();
                 self.wake(COUNTS_PERIOD, Due::Counts);
             }
+            Due::Shares => {
+                self.tell_over_share();
+                self.wake(SHARES_PERIOD, Due::Shares);
+            }
         }
     }
 
--- a/balancer/src/core/overrides.rs
+++ b/balancer/src/core/overrides.rs
@@ -155,34 +155,9 @@
     use beaconflow_overrides::{Draft, Kind, Strictness, Subject};
     use beaconflow_settings::digest;
 
-    use super::super::{Start, build};
+    use super::super::testing::{core, list, row};
     use super::*;
     use crate::clock::Clock;
-    use crate::farm::List;
-
-    const SETTINGS: &str = r#"{"discovery": "automatic",
-        "lanes": [{"name": "chat", "on-time-ns": 300000000, "hard-limit-ns": 1800000000,
-                   "effect": "retryable", "value": 1.0}],
-        "policy-limits": {"max-attempts": 4},
-        "rules": {"cold-share": 0.2, "cold-ns": 20000000000, "tip-multiple": 3.0, "fall-ns": 1500000000}}"#;
-
-    fn list(text: &str) -> List {
-        let rows = format!(r#"{{"generation":1,"reset":true,"instances":[{text}]}}"#);
-        serde_json::from_str(&rows).expect("a list")
-    }
-
-    fn row(name: &str) -> String {
-        format!(r#"{{"instanceId":"{name}","hostPort":"127.0.0.1:9","lifecycle":"SERVING"}}"#)
-    }
-
-    /// A core with one server and these overrides.
-    fn core(clock: Clock, overrides: Set) -> Core {
-        let setup = serde_json::from_str(SETTINGS).expect("settings");
-        let (known, watch) = (list(&row("s0")), crossbeam_channel::unbounded().0);
-        let start =
-            Start { name: "core", setup, seed: 7, clock, known, watch, overrides, door: Default::default() };
-        build(start).expect("sound settings").1
-    }
 
     fn told(core: &Core) -> Vec<State> {
         core.look().farm.iter().map(|server| server.state.1).collect()
--- a/balancer/src/core/route.rs
+++ b/balancer/src/core/route.rs
@@ -97,7 +97,7 @@
 
     /// Guards against a module that panicked and left its books half written: a new one takes over what stands,
     /// and what was on its way gets its final answer.
-    fn start_anew(&mut self) {
+    pub(super) fn start_anew(&mut self) {
         error!(part = self.name, "module panicked; a new one takes over");
         self.seed = self.seed.wrapping_add(1);
         let Ok(balancer) = Balancer::new(self.settings.clone(), self.seed) else { return };
--- /dev/null
+++ b/balancer/src/core/testing.rs
@@ -0,0 +1,77 @@
+//! A core that nobody runs, for tests: its events are handed over one by one.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use beaconflow_overrides::Set;
+
+use super::{Carrier, Core, Opening, Order, Start, build};
+use crate::clock::Clock;
+use crate::farm::List;
+
+const SETTINGS: &str = r#"{"discovery": "automatic",
+    "lanes": [{"name": "chat", "on-time-ns": 300000000, "hard-limit-ns": 1800000000,
+               "effect": "retryable", "value": 1.0}],
+    "projects": [{"name": "acme", "share": 0.58}, {"name": "bright", "share": 0.42}],
+    "policy-limits": {"max-attempts": 4, "retry-after": true, "max-retry-after-ns": 2000000000},
+    "rules": {"cold-share": 0.2, "cold-ns": 20000000000, "tip-multiple": 3.0, "fall-ns": 1500000000}}"#;
+
+pub(super) fn list(text: &str) -> List {
+    let rows = format!(r#"{{"generation":1,"reset":true,"instances":[{text}]}}"#);
+    serde_json::from_str(&rows).expect("a list")
+}
+
+pub(super) fn row(name: &str) -> String {
+    format!(r#"{{"instanceId":"{name}","hostPort":"127.0.0.1:9","lifecycle":"SERVING"}}"#)
+}
+
+/// A core with one server and these overrides.
+pub(super) fn core(clock: Clock, overrides: Set) -> Core {
+    let setup = serde_json::from_str(SETTINGS).expect("settings");
+    let (known, watch) = (list(&row("s0")), crossbeam_channel::unbounded().0);
+    let start =
+        Start { name: "core", setup, seed: 7, clock, known, watch, overrides, door: Default::default() };
+    build(start).expect("sound settings").1
+}
+
+/// Keeps the orders of all transactions.
+#[derive(Debug, Default)]
+pub(super) struct Orders(Mutex<Vec<(u64, Order)>>);
+
+impl Carrier for Orders {
+    fn carry(&self, id: u64, order: Order) {
+        self.0.lock().expect("sound").push((id, order));
+    }
+}
+
+impl Orders {
+    /// How many passes a transaction was ordered, and how many final answers.
+    pub(super) fn of(&self, id: u64) -> (usize, usize) {
+        let orders = self.0.lock().expect("sound");
+        let own = orders.iter().filter(|(of, _)| *of == id);
+        own.fold((0, 0), |(passes, answers), (_, order)| match order {
+            Order::Pass { .. } => (passes + 1, answers),
+            Order::Unavailable(_) | Order::Failed => (passes, answers + 1),
+            Order::Move => (passes, answers),
+        })
+    }
+}
+
+/// A client of an account opens.
+pub(super) fn opens(core: &mut Core, orders: &Arc<Orders>, id: u64, account: &str, patience: Duration) {
+    let opening = Opening {
+        class: 0,
+        key: Some(id),
+        group: None,
+        tenant: None,
+        account: Some(account.into()),
+        share: None,
+        again: false,
+        bytes: 40,
+        load: None,
+        taken_at: core.clock.now(),
+        patience,
+        held_by: None,
+    };
+    core.admit(id, opening, Arc::<Orders>::clone(orders));
+}
--- a/cli/benches/effect.rs
+++ b/cli/benches/effect.rs
@@ -21,11 +21,7 @@
     let config = folder.path().join("config.json");
     let names: Vec<String> = (0..100).map(|number| format!("s{number}")).collect();
     let rows: Vec<_> = names.iter().map(|name| (name.as_str(), server, "SERVING")).collect();
-    let text = format!(
-        r#"{{"name":"n0","listen":"{at}","discovery":"{}","seed":"7","known":{},"settings":{SETTINGS}}}"#,
-        free(),
-        list(1, true, &rows)
-    );
+    let text = support::config(at, free(), &list(1, true, &rows), SETTINGS, 256);
     std::fs::write(&config, text).expect("room");
     let operator = folder.path().join("operator.toml");
     let store = folder.path().join("overrides.redb");
--- a/cli/tests/admission.rs
+++ b/cli/tests/admission.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use serde_json::Value;
@@ -49,11 +49,7 @@
         let known = list(1, true, if any { &rows } else { &[] });
         let mut operator =
             format!("[admin]\nlisten = \"{admin}\"\ntoken = \"{ADMIN_TOKEN}\"\n[admission]\n{admission}\n");
-        let config = format!(
-            r#"{{"name":"n0","listen":"{at}","discovery":"{}","seed":"7","limits":{{"sockets":1024}},
-                "known":{known},"settings":{settings}}}"#,
-            discovery.address
-        );
+        let config = support::config(at, discovery.address, &known, &settings, 1_024);
         if wire == Wire::Nats {
             let settings: Value = serde_json::from_str(&settings.replace('\n', " ")).expect("JSON");
             let servers = format!("[{{ name = \"s0\", address = \"{}\" }}]", server.address);
@@ -336,3 +332,31 @@
     let due = site.account("acme")["due"].as_f64().expect("a number");
     assert!((due - 0.1 / 0.52).abs() < 0.01, "{due}");
 }
+
+#[test]
+fn an_account_that_is_over_its_share_for_long_is_told_of() {
+    let site = Site::start(Wire::Platform, "over_share_s = 1");
+    site.server.allow(usize::MAX);
+    // Eight of nine turns are one account's, until that is told of.
+    let (at, done) = (site.at, AtomicBool::new(false));
+    let line = std::thread::scope(|scope| {
+        scope.spawn(|| {
+            let mut standing = Vec::new();
+            for number in 0.. {
+                if done.load(Ordering::Relaxed) {
+                    return;
+                }
+                let account = if number % 9 == 0 { "acme" } else { "bright" };
+                let mut client = Peer::connect(at);
+                client.say(&format!("OPEN d{number} k{number} c=once,t={account},d=8500\r\n"));
+                client.hears("UP r1");
+                standing.push(client);
+                std::thread::sleep(Duration::from_millis(40));
+            }
+        });
+        let line = site.program.says("account over its share");
+        done.store(true, Ordering::Relaxed);
+        line
+    });
+    assert!(line.contains("account=bright") && line.contains("due=42%"), "{line}");
+}
--- a/cli/tests/commands.rs
+++ b/cli/tests/commands.rs
@@ -20,11 +20,7 @@
         let (at, admin, server) = (free(), free(), listener().local_addr().expect("bound"));
         let config = folder.path().join("config.json");
         let known = list(1, true, &[("s0", server, "SERVING"), ("s1", server, "SERVING")]);
-        let text = format!(
-            r#"{{"name":"n0","listen":"{at}","discovery":"{}","seed":"7","known":{known},"settings":{SETTINGS}}}"#,
-            free()
-        );
-        std::fs::write(&config, text).expect("room");
+        std::fs::write(&config, support::config(at, free(), &known, SETTINGS, 256)).expect("room");
         let operator = folder.path().join("operator.toml");
         let text = format!(
             "[admin]\nlisten = \"{admin}\"\ntoken = \"{ADMIN_TOKEN}\"\n[overrides]\nfile = {:?}\n[log]\nform = \"json\"\n",
@@ -197,3 +193,25 @@
     assert!(code == Some(1) && said.contains("line 1: not TOML"), "{said}");
     assert_eq!(run(&["check", "/no/such/file"]).status.code(), Some(1));
 }
+
+#[test]
+fn the_door_is_shown_as_a_table_and_again_and_again() {
+    let site = Site::start();
+    let once = site.prints(&["admission"]);
+    assert!(once.contains("platform: 0 of 4096 wait, 0 of 4096 KiB") && once.contains("WAIT P50"), "{once}");
+    let json: serde_json::Value = serde_json::from_str(&site.prints(&["admission", "--json"])).expect("JSON");
+    assert_eq!(json["fronts"][0]["limits"]["queues"], 64, "{json}");
+    // A live table ends with the program that it shows.
+    let mut command = Command::new(env!("CARGO_BIN_EXE_beaconflow"));
+    command.args(["admission", "--every", "100ms", "--api", &site.api, "--token-file", &site.token]);
+    let live = command.stdout(std::process::Stdio::piped()).stderr(std::process::Stdio::null()).spawn();
+    let mut live = live.expect("it starts");
+    let mut lines = std::io::BufRead::lines(std::io::BufReader::new(live.stdout.take().expect("piped")));
+    let mut tables = 0;
+    while tables < 3 {
+        let line = lines.next().expect("it goes on").expect("text");
+        tables += usize::from(line.contains("platform: 0 of 4096"));
+    }
+    drop(site.program);
+    assert_eq!(live.wait().expect("it ends").code(), Some(3), "the API is not reached any more");
+}
--- a/cli/tests/overrides.rs
+++ b/cli/tests/overrides.rs
@@ -40,11 +40,7 @@
             (0..servers).map(|number| (format!("s{number}"), listener())).collect();
         let known = list(1, true, &serving(&servers));
         let config = folder.path().join("config.json");
-        let text = format!(
-            r#"{{"name":"n0","listen":"{at}","discovery":"{}","seed":"7","limits":{{"sockets":256}},
-                "known":{known},"settings":{SETTINGS}}}"#,
-            discovery.address
-        );
+        let text = support::config(at, discovery.address, &known, SETTINGS, 256);
         std::fs::write(&config, text).expect("room");
         let operator = folder.path().join("operator.toml");
         let store = folder.path().join("overrides.redb");
--- a/cli/tests/platform.rs
+++ b/cli/tests/platform.rs
@@ -32,11 +32,7 @@
             .map(|(name, server)| (name.as_str(), server.local_addr().expect("bound"), "SERVING"))
             .collect();
         let known = list(1, true, &rows);
-        let config = format!(
-            r#"{{"name":"n0","listen":"{at}","discovery":"{}","seed":"7","limits":{{"sockets":256}},
-                "known":{known},"settings":{SETTINGS}}}"#,
-            discovery.address
-        );
+        let config = support::config(at, discovery.address, &known, SETTINGS, 256);
         let path = file(name, &config);
         // As on the platform: the variable goes on naming the first address after a reload.
         let old = discovery.address.to_string();
--- a/cli/tests/support/mod.rs
+++ b/cli/tests/support/mod.rs
@@ -278,6 +278,14 @@
     format!(r#"{{"generation":{generation},"reset":{reset},"instances":[{}]}}"#, rows.join(","))
 }
 
+/// The platform's configuration file: where clients connect, where discovery is, what was known of the farm.
+pub fn config(at: SocketAddr, discovery: SocketAddr, known: &str, settings: &str, sockets: usize) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"{at}","discovery":"{discovery}","seed":"7","limits":{{"sockets":{sockets}}},
+            "known":{known},"settings":{settings}}}"#
+    )
+}
+
 /// A file for one test.
 pub fn file(name: &str, text: &str) -> String {
     let path = std::env::temp_dir().join(format!("beaconflow-{}-{name}", std::process::id()));
