Breaks on all servers alike are the network's: they hold newcomers away from none

Each broken connection counted as a sign that its gateway has too much, which held newcomers away for 1.5 s and lowered its ceiling; with breaks everywhere all were held at once.

A farm that sheds as a whole looks like a network that resets.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -48,6 +48,8 @@
 const STRAIN_HOLD: Nanos = 1_500_000_000;
 const LONGEST_HOLD: Nanos = 25_000_000_000;
 const FEW_HELD: f64 = 6.0;
+/// Breaks on a server are its own beyond this many times its part of all; else they are the network's.
+const OWN_RESETS: f64 = 2.0;
 /// Extra weight of a server in the own zone, times the price of crossing.
 const ZONE_PULL: f64 = 100.0;
 /// Servers that any group may use.
@@ -292,8 +294,9 @@
             if outcome == Outcome::Served && !stood {
                 self.succeeded(id, server);
             }
+            let own = outcome == Outcome::Reset && stood && self.books.reset_share(now, server) > OWN_RESETS;
             self.books.forget(id);
-            if outcome == Outcome::Reset && stood {
+            if own {
                 self.books.raise_failures(now, key);
                 self.strike(now, server);
                 self.strain(now, server, RELIEF);
--- a/src/state.rs
+++ b/src/state.rs
@@ -8,6 +8,8 @@
 const MOST_ORDERS: usize = 1024;
 /// Requests over which shares of groups are taken, before what was counted is halved.
 const MOST_SEEN: f64 = 1000.0;
+/// Span over which broken connections are counted, in seconds.
+const RESET_SECONDS: f64 = 5.0;
 /// Housekeeping periods between two log lines at least.
 const LOG_TICKS: u64 = 10;
 /// The log counts servers with strain within this span, in nanoseconds, and with so many failures in a row.
@@ -34,6 +36,8 @@
     pub(crate) strained_at: Option<Nanos>,
     /// When messages there were last late.
     pub(crate) late_at: Option<Nanos>,
+    /// Standing connections that broke there lately.
+    resets: FadingCount,
     /// It takes nothing new until then, after a sign of strain.
     pub(crate) held_until: Nanos,
     /// What it last answered to a probe.
@@ -202,6 +206,8 @@
     /// Load of a connection, by class, as noted so far.
     pub(crate) class_loads: Vec<Mean>,
     failures: BTreeMap<ClientKey, Failures>,
+    /// Standing connections that broke lately, on all servers.
+    resets: FadingCount,
     /// The requests that wait for the answers of servers.
     asking: BTreeMap<ServerId, BTreeSet<RequestId>>,
     /// Requests of each group lately, and of all.
@@ -289,6 +295,16 @@
         })
     }
 
+    /// Counts a standing connection that broke, while it is still held; gives how many times more broke there lately
+    /// than its part of what this gateway holds would have.
+    pub(crate) fn reset_share(&mut self, now: Nanos, at: ServerId) -> f64 {
+        let part = self.load_at(at).unwrap_or(0.0) / self.load_of_all().max(f64::MIN_POSITIVE);
+        self.resets.add(now, 1.0, RESET_SECONDS);
+        let Some(server) = self.servers.get_mut(&at) else { return 0.0 };
+        server.resets.add(now, 1.0, RESET_SECONDS);
+        server.resets.value() / (self.resets.value() * part).max(f64::MIN_POSITIVE)
+    }
+
     /// A line for the log, once in [`LOG_TICKS`] housekeeping periods and only in trouble: servers lately
     /// strained, servers with failures in a row, and refusals since the last line.
     pub(crate) fn trouble(&self, now: Nanos, tally: &mut Tally) -> Option<String> {
@@ -623,6 +639,7 @@
             tipped_at: 0.0,
             strained_at: None,
             late_at: None,
+            resets: FadingCount::default(),
             held_until: 0,
             told: None,
             asked_cold_at: 0,
