--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -10,7 +10,7 @@
     State, TimerId, ZoneId,
 };
 use beaconflow_admission::Limits;
-use beaconflow_instance::Instance;
+use beaconflow_instance::{Decides, Instance};
 use beaconflow_settings::{Setup, digest};
 
 use crate::wire::{self, Item, Line};
--- a/admission/benches/door.rs
+++ b/admission/benches/door.rs
@@ -25,32 +25,16 @@
     door
 }
 
-/// One in and one out, so that as many wait after it as before.
-fn in_and_out(criterion: &mut Criterion) {
-    let mut group = criterion.benchmark_group("enter and admit");
+/// One in, and one out of it again, so that as many wait after it as before.
+fn in_and(criterion: &mut Criterion, what: &str, out: impl Fn(&mut Door, u64) -> Option<Entry>) {
+    let mut group = criterion.benchmark_group(what);
     for waiting in [10, 1_000, 100_000] {
         let (mut door, mut gone, mut next) = (filled(waiting), Vec::new(), waiting);
         group.bench_function(BenchmarkId::from_parameter(waiting), |bencher| {
             bencher.iter(|| {
                 next += 1;
                 door.enter(black_box(entry(next)), &mut gone);
-                black_box(door.admit())
-            });
-        });
-    }
-    group.finish();
-}
-
-/// One in, and the same one leaves.
-fn in_and_away(criterion: &mut Criterion) {
-    let mut group = criterion.benchmark_group("enter and leave");
-    for waiting in [10, 1_000, 100_000] {
-        let (mut door, mut gone, mut next) = (filled(waiting), Vec::new(), waiting);
-        group.bench_function(BenchmarkId::from_parameter(waiting), |bencher| {
-            bencher.iter(|| {
-                next += 1;
-                door.enter(black_box(entry(next)), &mut gone);
-                black_box(door.leave(next))
+                black_box(out(&mut door, next))
             });
         });
     }
@@ -80,8 +64,8 @@
 
 fn main() {
     let mut criterion = Criterion::default().configure_from_args();
-    in_and_out(&mut criterion);
-    in_and_away(&mut criterion);
+    in_and(&mut criterion, "enter and admit", |door, _| door.admit());
+    in_and(&mut criterion, "enter and leave", |door, id| door.leave(id));
     gives_way(&mut criterion);
     criterion.final_summary();
 }
--- a/admission/src/door.rs
+++ b/admission/src/door.rs
@@ -37,7 +37,7 @@
         Limits {
             all: Bound { entries: 4_096, bytes: 4 << 20 },
             account: Bound { entries: 4_096, bytes: 4 << 20 },
-            queue: Bound { entries: 1_024, bytes: 1 << 20 },
+            queue: Bound { entries: 1_024, bytes: 4 << 20 },
             queues: 64,
             hand: 4,
         }
--- a/admission/src/lib.rs
+++ b/admission/src/lib.rs
@@ -24,13 +24,15 @@
 
 mod door;
 mod fair;
+mod quickest;
 mod returning;
 mod slab;
 mod tally;
 
 pub use door::{Bound, Door, Entry, Limits};
-pub use returning::{Quickest, Returning};
-pub use tally::{Miss, OverShare, Tallies, Tally};
+pub use quickest::Quickest;
+pub use returning::Returning;
+pub use tally::{Counts, Miss, OverShare, Tallies, Tally};
 
 /// A moment or a span, in nanoseconds.
 pub type Nanos = u64;
--- a/admission/src/tally.rs
+++ b/admission/src/tally.rs
@@ -14,13 +14,9 @@
 /// Accounts that are counted apart; later ones take the place of the one that asked longest ago.
 const MOST_ACCOUNTS: usize = 4_096;
 
-/// An account's counts since the start.
-#[derive(Clone, Debug)]
-pub struct Tally {
-    /// Its name, as the host gives it.
-    pub name: Box<str>,
-    /// Its part of the service, against the others'.
-    pub share: f64,
+/// What came of an account's requests since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
     /// Requests that came.
     pub asked: u64,
     /// Requests that got a first attempt.
@@ -33,6 +29,17 @@
     pub given_up: u64,
     /// Requests whose client left while they waited.
     pub left: u64,
+}
+
+/// All that is kept of an account.
+#[derive(Clone, Debug)]
+pub struct Tally {
+    /// Its name, as the host gives it.
+    pub name: Box<str>,
+    /// Its part of the service, against the others'.
+    pub share: f64,
+    /// What came of its requests.
+    pub counts: Counts,
     /// Time from arrival to first attempt, in milliseconds.
     pub waits: Histogram<u32>,
     rate: Rate,
@@ -90,6 +97,8 @@
 #[derive(Default)]
 pub struct Tallies {
     by_account: FxHashMap<u64, Tally>,
+    /// Sum of the shares of those that are counted. Guards against a sum over all accounts at each first attempt.
+    whole: f64,
     all: Rate,
 }
 
@@ -98,11 +107,13 @@
     pub fn asked(&mut self, now: Nanos, account: u64, name: &str, share: f64) {
         if !self.by_account.contains_key(&account) && self.by_account.len() >= MOST_ACCOUNTS {
             let oldest = self.by_account.iter().min_by_key(|(_, tally)| tally.asked_at).map(|(id, _)| *id);
-            oldest.and_then(|oldest| self.by_account.remove(&oldest));
+            let gone = oldest.and_then(|oldest| self.by_account.remove(&oldest));
+            self.whole -= gone.map_or(0.0, |tally| tally.share);
         }
-        let tally = self.by_account.entry(account).or_insert_with(|| Tally::new(name, share));
+        let tally = self.by_account.entry(account).or_insert_with(|| Tally::new(name));
+        self.whole += share - tally.share;
         (tally.share, tally.asked_at) = (share, now);
-        tally.asked += 1;
+        tally.counts.asked += 1;
     }
 
     /// A request got its first attempt after this wait.
@@ -111,8 +122,8 @@
         let all = self.all.at(now);
         self.all.add(now);
         let Some(tally) = self.by_account.get_mut(&account) else { return };
-        tally.admitted += 1;
-        tally.lent += u64::from(all > 0.0 && tally.rate.at(now) > due * all);
+        tally.counts.admitted += 1;
+        tally.counts.lent += u64::from(all > 0.0 && tally.rate.at(now) > due * all);
         tally.rate.add(now);
         tally.waits.saturating_record((waited / 1_000_000).clamp(1, LONGEST_WAIT));
     }
@@ -121,9 +132,9 @@
     pub fn missed(&mut self, account: u64, how: Miss) {
         let Some(tally) = self.by_account.get_mut(&account) else { return };
         match how {
-            Miss::Refused => tally.refused += 1,
-            Miss::GivenUp => tally.given_up += 1,
-            Miss::Left => tally.left += 1,
+            Miss::Refused => tally.counts.refused += 1,
+            Miss::GivenUp => tally.counts.given_up += 1,
+            Miss::Left => tally.counts.left += 1,
         }
     }
 
@@ -137,16 +148,16 @@
     }
 
     /// An account's part of all, by the shares of those that are counted.
-    fn due(&self, account: u64) -> f64 {
-        let whole: f64 = self.by_account.values().map(|tally| tally.share).sum();
-        self.by_account.get(&account).map_or(0.0, |tally| tally.share / whole)
+    pub fn due(&self, account: u64) -> f64 {
+        self.by_account.get(&account).map_or(0.0, |tally| tally.share / self.whole)
     }
 
     /// The accounts that have been over their shares for longer than a bound, and those that are so no more: each is
     /// given once.
     pub fn over_share(&mut self, now: Nanos, bound: Nanos) -> Vec<OverShare> {
-        let whole: f64 = self.by_account.values().map(|tally| tally.share).sum();
-        let all = self.all.at(now);
+        // What was added and taken away leaves a trace of rounding, which is not to grow.
+        self.whole = self.by_account.values().map(|tally| tally.share).sum();
+        let (whole, all) = (self.whole, self.all.at(now));
         let mut news = Vec::new();
         for tally in self.by_account.values_mut() {
             let (due, part) = (tally.share / whole, tally.rate.at(now) / all.max(f64::MIN_POSITIVE));
@@ -179,16 +190,11 @@
 }
 
 impl Tally {
-    fn new(name: &str, share: f64) -> Tally {
+    fn new(name: &str) -> Tally {
         Tally {
             name: name.into(),
-            share,
-            asked: 0,
-            admitted: 0,
-            lent: 0,
-            refused: 0,
-            given_up: 0,
-            left: 0,
+            share: 0.0,
+            counts: Counts::default(),
             waits: Histogram::new_with_bounds(1, LONGEST_WAIT, 2).expect("bounds that the library takes"),
             rate: Rate::default(),
             asked_at: 0,
--- a/admission/tests/tally.rs
+++ b/admission/tests/tally.rs
@@ -39,7 +39,7 @@
 fn what_goes_beyond_a_share_is_lent_and_told_once_after_the_bound() {
     let mut tallies = Tallies::default();
     let mut now = play(&mut tallies, 0, 10, 90, 10);
-    let lent = |tallies: &Tallies, at: usize| tallies.all()[at].1.lent;
+    let lent = |tallies: &Tallies, at: usize| tallies.all()[at].1.counts.lent;
     assert!(
         lent(&tallies, 0) > 800 && lent(&tallies, 1) == 0,
         "{} and {}",
@@ -81,7 +81,7 @@
     }
     let all = tallies.all();
     assert_eq!(all.len(), 4_096);
-    assert!(all.iter().all(|(account, tally)| *account >= 904 && tally.refused == 1));
+    assert!(all.iter().all(|(account, tally)| *account >= 904 && tally.counts.refused == 1));
 }
 
 #[test]
@@ -140,9 +140,9 @@
             prop_assert!(tallies.drain(now, account, 3).is_none_or(|span| span > 0));
         }
         for (account, tally) in tallies.all() {
-            let counted = [tally.asked, tally.admitted, tally.refused, tally.given_up, tally.left];
-            prop_assert_eq!(counted, plain[&account]);
-            prop_assert!(tally.lent <= tally.admitted && tally.waits.len() == tally.admitted);
+            let Counts { asked, admitted, lent, refused, given_up, left } = tally.counts;
+            prop_assert_eq!([asked, admitted, refused, given_up, left], plain[&account]);
+            prop_assert!(lent <= admitted && tally.waits.len() == admitted);
         }
     }
 }
--- a/balancer/src/admin/admission.rs
+++ b/balancer/src/admin/admission.rs
@@ -2,7 +2,7 @@
 
 use serde_json::{Value, json};
 
-use super::farm::look;
+use super::farm::no_answer;
 use super::http::Reply;
 use crate::core::{AccountLook, DoorLook};
 use crate::overrides::NamedCore;
@@ -11,7 +11,7 @@
 pub(super) fn read(cores: &[NamedCore]) -> Result<Reply, Reply> {
     let fronts = cores
         .iter()
-        .map(|core| Ok(front(core.0, &look(core)?.door)))
+        .map(|core| Ok(front(core.0, &core.1.look_at_door().ok_or_else(|| no_answer(core.0))?)))
         .collect::<Result<Vec<Value>, Reply>>()?;
     Ok(Reply::new(200, json!({ "fronts": fronts })))
 }
@@ -33,8 +33,8 @@
 fn account(account: &AccountLook) -> Value {
     json!({
         "account": account.name, "due": account.due, "per_second": account.per_second,
-        "waiting": account.waiting, "asked": account.asked, "admitted": account.admitted,
-        "lent": account.lent, "refused": account.refused, "given_up": account.given_up, "left": account.left,
+        "waiting": account.waiting, "asked": account.counts.asked, "admitted": account.counts.admitted,
+        "lent": account.counts.lent, "refused": account.counts.refused, "given_up": account.counts.given_up, "left": account.counts.left,
         "wait_p50_ms": account.wait_p50_ms, "wait_p99_ms": account.wait_p99_ms,
     })
 }
--- a/balancer/src/admin/farm.rs
+++ b/balancer/src/admin/farm.rs
@@ -11,8 +11,12 @@
 use crate::front::nats::tenants::Tenants;
 use crate::overrides::{Keeper, NamedCore, Shown};
 
-pub(super) fn look((front, core): &NamedCore) -> Result<Look, Reply> {
-    core.look().ok_or_else(|| Reply::error(503, format!("the core of {front} does not answer")))
+pub(super) fn no_answer(front: &str) -> Reply {
+    Reply::error(503, format!("the core of {front} does not answer"))
+}
+
+fn look((front, core): &NamedCore) -> Result<Look, Reply> {
+    core.look().ok_or_else(|| no_answer(front))
 }
 
 /// What has been counted, by front.
--- a/balancer/src/core/door.rs
+++ b/balancer/src/core/door.rs
@@ -2,10 +2,13 @@
 //!
 //! The order and who gives way are the door's; where a transaction goes and how it is answered are the module's.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use beaconflow::api::{self, Class, Nanos, RequestId};
-use beaconflow_admission::{Door, Entry, Limits, Miss, OverShare, Quickest, Returning, Tallies};
+use beaconflow_admission::{
+    Counts, Door, Entry, Limits, Miss, OverShare, Quickest, Returning, Tallies, Tally,
+};
 use beaconflow_settings::{Setup, digest};
 use tracing::{info, warn};
 
@@ -21,14 +24,14 @@
     /// What it holds at most.
     pub limits: Limits,
     /// Shares by the account's name; these go before all others.
-    pub shares: Vec<(String, f64)>,
+    pub shares: HashMap<String, f64>,
     /// An account that is over its share for longer than this is told of.
     pub over_share: Duration,
 }
 
 impl Default for Config {
     fn default() -> Config {
-        Config { limits: Limits::default(), shares: Vec::new(), over_share: Duration::from_secs(10) }
+        Config { limits: Limits::default(), shares: HashMap::new(), over_share: Duration::from_secs(10) }
     }
 }
 
@@ -56,18 +59,8 @@
     pub per_second: f64,
     /// Entries that wait.
     pub waiting: usize,
-    /// Requests that came.
-    pub asked: u64,
-    /// Those that got a first attempt.
-    pub admitted: u64,
-    /// Those of them beyond its share, which others did not use.
-    pub lent: u64,
-    /// Those told to come again before a first attempt.
-    pub refused: u64,
-    /// Those whose time was up before a first attempt.
-    pub given_up: u64,
-    /// Those whose client left before a first attempt.
-    pub left: u64,
+    /// What came of its requests.
+    pub counts: Counts,
     /// Time to the first attempt, median, in milliseconds.
     pub wait_p50_ms: u64,
     /// The same, 99th percentile.
@@ -83,7 +76,7 @@
     quickest: Vec<Quickest>,
     config: Config,
     /// Shares by the accounts' names, from the settings of the site.
-    listed: Vec<(String, f64)>,
+    listed: HashMap<String, f64>,
     /// Those that gave way and have not been answered.
     gone: Vec<Entry>,
     /// When the next one's time is up, if that moment has been set.
@@ -108,11 +101,8 @@
     /// An account's share: what the operator's file says, else its own record, else the settings of the site. One of
     /// which nobody says anything has the least of those listed.
     fn share(&self, opening: &Opening) -> f64 {
-        let of = |list: &[(String, f64)]| {
-            let name = opening.account.as_deref()?;
-            list.iter().find(|(listed, _)| listed == name).map(|(_, share)| *share)
-        };
-        let least = || self.listed.iter().map(|(_, share)| *share).reduce(f64::min);
+        let of = |list: &HashMap<String, f64>| list.get(opening.account.as_deref()?).copied();
+        let least = || self.listed.values().copied().reduce(f64::min);
         let own = of(&self.config.shares).or(opening.share).or_else(|| of(&self.listed));
         own.or_else(least).unwrap_or(1.0)
     }
@@ -120,7 +110,8 @@
     /// What the line is told of a transaction.
     pub(super) fn entry(&mut self, id: u64, opening: &Opening, give_up_at: Nanos, now: Nanos) -> Entry {
         let client = opening.key.or(opening.group).unwrap_or(id);
-        let returns = opening.again || opening.key.is_some_and(|key| self.returning.comes(now, key));
+        // The word is made good also where the client says itself that it returns.
+        let known = opening.key.is_some_and(|key| self.returning.comes(now, key));
         let quickest = self.quickest.get(opening.class).map_or(0, Quickest::get);
         Entry {
             id,
@@ -130,7 +121,7 @@
             // A group of ten thousand sites is one name: it fills no more queues than any other.
             flow: opening.group.unwrap_or(client),
             give_up_at: give_up_at.saturating_sub(quickest),
-            returns,
+            returns: known || opening.again,
             bytes: u32::try_from(size_of::<Transaction>() + opening.bytes).unwrap_or(u32::MAX),
         }
     }
@@ -174,24 +165,23 @@
     }
 
     /// Shares that the settings of the site list from now on.
-    pub(super) fn list_shares(&mut self, listed: Vec<(String, f64)>) {
+    pub(super) fn list_shares(&mut self, listed: HashMap<String, f64>) {
         self.listed = listed;
     }
 
+    /// How many wait.
+    pub(super) fn waiting(&self) -> usize {
+        self.door.len()
+    }
+
     pub(super) fn look(&self, now: Nanos) -> DoorLook {
         let all = self.tallies.all();
-        let whole: f64 = all.iter().map(|(_, tally)| tally.share).sum();
-        let row = |(id, tally): &(u64, &beaconflow_admission::Tally)| AccountLook {
+        let row = |(id, tally): &(u64, &Tally)| AccountLook {
             name: tally.name.clone().into(),
-            due: tally.share / whole,
+            due: self.tallies.due(*id),
             per_second: tally.per_second(now),
             waiting: self.door.waiting_of(*id),
-            asked: tally.asked,
-            admitted: tally.admitted,
-            lent: tally.lent,
-            refused: tally.refused,
-            given_up: tally.given_up,
-            left: tally.left,
+            counts: tally.counts,
             wait_p50_ms: tally.waits.value_at_quantile(0.5),
             wait_p99_ms: tally.waits.value_at_quantile(0.99),
         };
@@ -286,7 +276,7 @@
         for id in 0..WINDOW + 36 {
             opens(&mut core, &orders, id, if id % 2 == 0 { "acme" } else { "bright" }, LONG);
         }
-        assert_eq!(core.look().door.waiting, 36);
+        assert_eq!(core.gate.waiting(), 36);
         (core, orders)
     }
 
@@ -294,20 +284,20 @@
     fn a_module_that_panics_with_a_full_door_costs_each_transaction_one_final_answer() {
         let (mut core, orders) = full();
         core.start_anew();
-        assert_eq!(core.look().door.waiting, 0);
+        assert_eq!(core.gate.waiting(), 0);
         assert!((0..WINDOW + 36).all(|id| orders.of(id).1 == 1), "one answer each");
         // The new module takes newcomers, and the line works as before.
         for id in 100..100 + WINDOW + 3 {
             opens(&mut core, &orders, id, "acme", LONG);
         }
-        assert_eq!((orders.of(100), core.look().door.waiting), ((1, 0), 3));
+        assert_eq!((orders.of(100), core.gate.waiting()), ((1, 0), 3));
     }
 
     #[test]
     fn a_set_up_that_ends_makes_a_turn_and_one_that_leaves_makes_none() {
         let (mut core, orders) = full();
         core.take(Event::Left(WINDOW));
-        assert_eq!(core.look().door.waiting, 35);
+        assert_eq!(core.gate.waiting(), 35);
         let under_way = |orders: &Orders| (0..WINDOW + 36).filter(|id| orders.of(*id).0 > 0).count() as u64;
         assert_eq!(under_way(&orders), WINDOW);
         core.take(Event::Established(0));
@@ -317,7 +307,7 @@
         core.take(Event::Left(1));
         assert_eq!(under_way(&orders), before + 1);
         assert_eq!(
-            core.look().door.accounts.iter().map(|account| account.left).sum::<u64>(),
+            core.gate.look(0).accounts.iter().map(|account| account.counts.left).sum::<u64>(),
             1,
             "at the door"
         );
@@ -347,7 +337,7 @@
             core.door_is_due();
         }
         assert_eq!(orders.of(500), (0, 1));
-        let look = core.look().door;
-        assert_eq!(look.accounts.iter().map(|account| account.given_up).sum::<u64>(), 1);
+        let look = core.gate.look(0);
+        assert_eq!(look.accounts.iter().map(|account| account.counts.given_up).sum::<u64>(), 1);
     }
 }
--- a/balancer/src/core/ledger.rs
+++ b/balancer/src/core/ledger.rs
@@ -159,17 +159,15 @@
         now: Nanos,
     ) -> Option<(Entry, Nanos)> {
         let transaction = self.open.get_mut(&id)?;
-        {
-            let first = (transaction.passes == 0 && transaction.opening.held_by.is_none())
-                .then(|| (transaction.entry, now.saturating_sub(transaction.opening.taken_at)));
-            transaction.passed_at = now;
-            let held = transaction.opening.held_by.is_some();
-            transaction.place = if held { Place::Held(server) } else { Place::Out(server) };
-            transaction.passes += 1;
-            self.counts.passes += 1;
-            self.order(id, order);
-            first
-        }
+        let first = (transaction.passes == 0 && transaction.opening.held_by.is_none())
+            .then(|| (transaction.entry, now.saturating_sub(transaction.opening.taken_at)));
+        transaction.passed_at = now;
+        let held = transaction.opening.held_by.is_some();
+        transaction.place = if held { Place::Held(server) } else { Place::Out(server) };
+        transaction.passes += 1;
+        self.counts.passes += 1;
+        self.order(id, order);
+        first
     }
 
     /// A transaction's time was up while it waited at the door.
--- a/balancer/src/core/mod.rs
+++ b/balancer/src/core/mod.rs
@@ -13,7 +13,7 @@
 mod testing;
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -112,10 +112,12 @@
     Terminate,
     /// Somebody wants to see the counts and the farm.
     Look(Sender<Look>),
+    /// Somebody wants to see who waits at the door and what each account got.
+    LookAtDoor(Sender<DoorLook>),
     /// The operator's file says something else of admission.
     Door(DoorConfig),
     /// The settings of the site list other shares, by the accounts' names.
-    Shares(Vec<(String, f64)>),
+    Shares(HashMap<String, f64>),
     /// Overrides have changed; the answer comes once the module has been told.
     Overrides(Vec<OverrideChange>, Option<Sender<InEffect>>),
 }
@@ -157,8 +159,8 @@
     pub farm: Vec<ServerLook>,
     /// Where the overrides leave no ready server.
     pub judgement: Judgement,
-    /// Who waits, and what each account got.
-    pub door: DoorLook,
+    /// Transactions that wait at the door.
+    pub waiting: usize,
     /// None hold at this front, since a fault in them was met.
     pub overrides_lost: bool,
 }
@@ -226,8 +228,17 @@
 
     /// A look at the core; nothing if it does not answer.
     pub fn look(&self) -> Option<Look> {
+        self.ask(Event::Look)
+    }
+
+    /// A look at the door; nothing if the core does not answer.
+    pub fn look_at_door(&self) -> Option<DoorLook> {
+        self.ask(Event::LookAtDoor)
+    }
+
+    fn ask<T>(&self, what: impl FnOnce(Sender<T>) -> Event) -> Option<T> {
         let (ask, answer) = crossbeam_channel::bounded(1);
-        self.tell(Event::Look(ask));
+        self.tell(what(ask));
         answer.recv_timeout(Duration::from_secs(1)).ok()
     }
 }
@@ -426,6 +437,9 @@
                 // Nobody waits any more if this fails.
                 let _ = answer.try_send(self.look());
             }
+            Event::LookAtDoor(answer) => {
+                let _ = answer.try_send(self.gate.look(self.clock.now()));
+            }
         }
     }
 
@@ -499,7 +513,7 @@
             standing: standing.values().sum(),
             farm: self.farm.look(&standing),
             judgement: self.judgement.clone(),
-            door: self.gate.look(self.clock.now()),
+            waiting: self.gate.waiting(),
             overrides_lost: self.overrides_lost,
         }
     }
@@ -539,7 +553,7 @@
         info!(
             part = self.name,
             open = look.open,
-            waiting = look.door.waiting,
+            waiting = look.waiting,
             standing = look.standing,
             opened = counts.opened,
             served = counts.served,
--- a/balancer/src/operator.rs
+++ b/balancer/src/operator.rs
@@ -3,6 +3,7 @@
 //! It is read field by field, so that everything that is wrong with it is named at once.
 
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -286,7 +287,7 @@
     let over_share_s: f64 = section.or("over_share_s", usual.over_share.as_secs_f64());
     let span_is_bad = !(1.0..=86_400.0).contains(&over_share_s);
     section.refuse("over_share_s", span_is_bad, "from 1 to 86400");
-    let mut shares = Vec::new();
+    let mut shares = HashMap::new();
     if let Some(mut listed) = section.section("shares") {
         let names: Vec<String> = listed.table.keys().cloned().collect();
         for name in names {
--- a/balancer/src/reload.rs
+++ b/balancer/src/reload.rs
@@ -85,9 +85,8 @@
         changes.fixed("name", file.name == new.name);
         changes.fixed("listen", file.listen == new.listen);
         if !file.settings.shares().eq(new.settings.shares()) {
-            core.tell(Event::Shares(
-                new.settings.shares().map(|(name, share)| (name.into(), share)).collect(),
-            ));
+            let shares = new.settings.shares().map(|(name, share)| (name.into(), share));
+            core.tell(Event::Shares(shares.collect()));
             file.settings = file.settings.with_shares_of(&new.settings);
             changes.taken.push("shares".into());
         }
--- a/balancer/src/serve.rs
+++ b/balancer/src/serve.rs
@@ -155,8 +155,16 @@
     };
     let target = watcher.as_ref().map(Watcher::target);
     let (seed, known) = (clock.now(), nats.farm.list(1));
-    let (overrides, door, setup_) = (overrides.clone(), door.clone(), Setup::clone(&setup));
-    let start = Start { name: "nats-core", setup: setup_, seed, clock, known, watch, overrides, door };
+    let start = Start {
+        name: "nats-core",
+        setup: Setup::clone(&setup),
+        seed,
+        clock,
+        known,
+        watch,
+        overrides: overrides.clone(),
+        door: door.clone(),
+    };
     let (core, thread) = start_core(start, watcher)?;
     let front = Arc::new(Front::new(nats.name.clone(), Arc::clone(&setup), Arc::clone(&tenants), nats.wire));
     let sockets = Sockets::new(nats.sockets.into());
--- a/instance/src/lib.rs
+++ b/instance/src/lib.rs
@@ -8,6 +8,16 @@
 use beaconflow_admission::{Door, Entry, Limits};
 use rustc_hash::FxHashMap;
 
+/// One balancer's decisions, by whatever policy.
+pub trait Decides {
+    /// A request comes; `account` is its account's place.
+    fn arrives(&mut self, now: Nanos, arrival: Arrival, account: usize, returns: bool, out: &mut Vec<Action>);
+    /// Anything else happens.
+    fn handle(&mut self, now: Nanos, event: Event, out: &mut Vec<Action>);
+    /// Requests that wait at the door.
+    fn waiting(&self) -> usize;
+}
+
 /// One balancer.
 pub struct Instance {
     balancer: Balancer,
@@ -32,13 +42,14 @@
         Ok(Instance { balancer, door, shares, entries: FxHashMap::default() })
     }
 
-    /// How many wait at the door.
-    pub fn waiting(&self) -> usize {
-        self.door.len()
+    fn answered(&mut self, request: RequestId) {
+        self.door.leave(request.0);
+        self.entries.remove(&request.0);
     }
+}
 
-    /// A request comes; `account` is its account's place.
-    pub fn arrives(
+impl Decides for Instance {
+    fn arrives(
         &mut self,
         now: Nanos,
         arrival: Arrival,
@@ -61,8 +72,7 @@
         self.handle(now, Event::Arrived(arrival), out);
     }
 
-    /// Hands an event to the module, and gives turns to those who wait as long as it has any.
-    pub fn handle(&mut self, now: Nanos, event: Event, out: &mut Vec<Action>) {
+    fn handle(&mut self, now: Nanos, event: Event, out: &mut Vec<Action>) {
         let mut next = Some(event);
         while let Some(event) = next {
             if let Event::ClientLeft(request)
@@ -95,8 +105,7 @@
         }
     }
 
-    fn answered(&mut self, request: RequestId) {
-        self.door.leave(request.0);
-        self.entries.remove(&request.0);
+    fn waiting(&self) -> usize {
+        self.door.len()
     }
 }
--- a/lab/src/engine.rs
+++ b/lab/src/engine.rs
@@ -10,13 +10,14 @@
     Action, Arrival, ClassId, ClientKey, Entry, Event, GroupId, ListKind, Note, Outcome, RequestId, ServerId,
     State, TimerId, ZoneId,
 };
+use beaconflow_instance::Decides;
 use rustc_hash::FxHashMap;
 
 use crate::chance::Chance;
 use crate::checker::Checker;
 use crate::gateway::{Gateway, Offer, Standing};
 use crate::measures::{Measures, Served};
-use crate::policies::{Decides, Policy};
+use crate::policies::Policy;
 use crate::scenario::{Failure, Habit, Scenario};
 use crate::store::Store;
 use crate::{Nanos, SECOND, nanos};
@@ -447,13 +448,15 @@
         }
     }
 
-    fn over(&mut self, request: u64) {
-        let Some(Request { phase: Phase::Stands { gateway }, .. }) = self.requests.get(&request) else {
-            return;
-        };
-        let gateway = *gateway;
+    /// A standing connection leaves its gateway and the books.
+    fn lets_go(&mut self, request: u64) -> Option<Request> {
+        let Phase::Stands { gateway } = self.requests.get(&request)?.phase else { return None };
         self.machines[gateway as usize].gateway.ends(self.now, request);
-        let Some(one) = self.requests.remove(&request) else { return };
+        self.requests.remove(&request)
+    }
+
+    fn over(&mut self, request: u64) {
+        let Some(one) = self.lets_go(request) else { return };
         let flooding = self.clients.get(&one.client).is_some_and(|client| self.now < client.floods_until);
         if flooding {
             self.wants(one.client);
@@ -474,12 +477,7 @@
 
     /// A standing connection breaks, with its balancer or otherwise; its client comes again.
     fn cut_off(&mut self, request: u64, by_balancer: bool) {
-        let Some(Request { phase: Phase::Stands { gateway }, .. }) = self.requests.get(&request) else {
-            return;
-        };
-        let gateway = *gateway;
-        self.machines[gateway as usize].gateway.ends(self.now, request);
-        let Some(one) = self.requests.remove(&request) else { return };
+        let Some(one) = self.lets_go(request) else { return };
         self.measures.at(self.now).cut += 1;
         if !by_balancer {
             self.tell_ended(&one, request, Outcome::Reset);
@@ -575,12 +573,7 @@
     }
 
     fn moves(&mut self, request: u64) {
-        let Some(Request { phase: Phase::Stands { gateway }, .. }) = self.requests.get(&request) else {
-            return;
-        };
-        let gateway = *gateway;
-        self.machines[gateway as usize].gateway.ends(self.now, request);
-        let Some(one) = self.requests.remove(&request) else { return };
+        let Some(one) = self.lets_go(request) else { return };
         self.measures.at(self.now).moved += 1;
         self.comes_back(one.client);
     }
@@ -903,13 +896,15 @@
         for request in there {
             self.cut_off(request, false);
         }
-        // Set-ups under way break.
-        let mut out: Vec<(u64, u32)> = self
-            .passes
-            .values()
-            .filter(|pass| pass.gateway == gateway)
-            .map(|pass| (pass.request, pass.attempt))
-            .collect();
+        // Set-ups under way break, and nothing is kept of them.
+        let mut out = Vec::new();
+        self.passes.retain(|_, pass| {
+            let stays = pass.gateway != gateway;
+            if !stays {
+                out.push((pass.request, pass.attempt));
+            }
+            stays
+        });
         out.sort_unstable();
         for (request, attempt) in out {
             self.reports(request, attempt, Outcome::Reset);
--- a/lab/src/gateway.rs
+++ b/lab/src/gateway.rs
@@ -137,11 +137,6 @@
         self.standing.len()
     }
 
-    /// What a connection that stands here asks for.
-    pub fn get(&self, id: u64) -> Option<Standing> {
-        self.standing.get(&id).copied()
-    }
-
     /// All that stand, by number.
     pub fn ids(&self) -> Vec<u64> {
         let mut ids: Vec<u64> = self.standing.keys().copied().collect();
@@ -208,11 +203,6 @@
         Some((next, self.set_up_ends(now, chance)))
     }
 
-    /// Whoever asked for a set-up that waits has gone.
-    pub fn withdraw(&mut self, id: u64) {
-        self.waiting.retain(|waiting| *waiting != id);
-    }
-
     fn set_up_ends(&self, now: Nanos, chance: &mut Chance) -> Nanos {
         // Work that is piled up takes its part of the cores.
         let slower = 1.0 + self.piled_s(now);
--- a/lab/src/policies.rs
+++ b/lab/src/policies.rs
@@ -5,43 +5,12 @@
 
 use beaconflow::api::{Action, Arrival, Event, Outcome, RequestId, ServerId, Settings, State};
 use beaconflow_admission::Limits;
-use beaconflow_instance::Instance;
+use beaconflow_instance::{Decides, Instance};
 use rustc_hash::FxHashMap;
 
 use crate::Nanos;
 use crate::chance::Chance;
 
-/// One balancer's decisions.
-pub trait Decides {
-    /// A request comes; `account` is its account's place.
-    fn arrives(&mut self, now: Nanos, arrival: Arrival, account: usize, returns: bool, out: &mut Vec<Action>);
-    /// Anything else happens.
-    fn handle(&mut self, now: Nanos, event: Event, out: &mut Vec<Action>);
-    /// Requests that wait at the door.
-    fn waiting(&self) -> usize;
-}
-
-impl Decides for Instance {
-    fn arrives(
-        &mut self,
-        now: Nanos,
-        arrival: Arrival,
-        account: usize,
-        returns: bool,
-        out: &mut Vec<Action>,
-    ) {
-        Instance::arrives(self, now, arrival, account, returns, out);
-    }
-
-    fn handle(&mut self, now: Nanos, event: Event, out: &mut Vec<Action>) {
-        Instance::handle(self, now, event, out);
-    }
-
-    fn waiting(&self) -> usize {
-        Instance::waiting(self)
-    }
-}
-
 /// A policy by name.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Policy {
--- a/lab/src/store.rs
+++ b/lab/src/store.rs
@@ -26,11 +26,6 @@
         self.at_once as f64 / self.mean_s
     }
 
-    /// Calls that wait.
-    pub fn waiting(&self) -> usize {
-        self.waiting.len()
-    }
-
     /// No call ends before that moment.
     pub fn stall(&mut self, until: Nanos) {
         self.stalled_until = self.stalled_until.max(until);
