Operations port and standby: a balancer is asked, drained and taken back while it serves

Change: one lifecycle state in a module without I/O (core/lifecycle.rs), owned by the core and shown in an atomic that PING and GET /status read; standby and leaving share one drain (core/drain.rs) that active undoes half way; the operations port is one thread and one non-blocking loop over 16 callers. HTTP's reading and wording moved from admin/ to http.rs, where both use it.

Newcomers in the grace are served and moved instead of refused, also after SIGTERM.

--- a/balancer/src/admin/admission.rs
+++ b/balancer/src/admin/admission.rs
@@ -3,8 +3,8 @@
 use serde_json::{Value, json};
 
 use super::farm::no_answer;
-use super::http::Reply;
 use crate::core::{AccountLook, DoorLook};
+use crate::http::Reply;
 use crate::overrides::NamedCore;
 
 /// Who waits at each front's door, and what each account got.
--- a/balancer/src/admin/farm.rs
+++ b/balancer/src/admin/farm.rs
@@ -6,9 +6,9 @@
 use beaconflow::api::State;
 use serde_json::{Value, json};
 
-use super::http::Reply;
 use crate::core::{Look, ServerLook};
 use crate::front::nats::tenants::Tenants;
+use crate::http::Reply;
 use crate::overrides::{Keeper, NamedCore, Shown};
 
 pub(super) fn no_answer(front: &str) -> Reply {
--- a/balancer/src/admin/mod.rs
+++ b/balancer/src/admin/mod.rs
@@ -3,7 +3,6 @@
 
 mod admission;
 mod farm;
-mod http;
 mod overrides;
 mod tenants;
 
@@ -18,8 +17,8 @@
 use sha2::{Digest, Sha256};
 use tracing::warn;
 
-use self::http::{Reply, Request, Unread};
 use crate::front::nats::tenants::Tenants;
+use crate::http::{self, Reply, Request, Unread};
 use crate::net;
 use crate::overrides::{Keeper, NamedCore};
 
--- a/balancer/src/admin/overrides.rs
+++ b/balancer/src/admin/overrides.rs
@@ -6,7 +6,7 @@
 use serde_json::{Map, Value, json};
 use sha2::{Digest, Sha256};
 
-use super::http::{Reply, Request};
+use crate::http::{Reply, Request};
 use crate::overrides::{Changed, Keeper, Refused, Shown};
 
 /// Longest key of a request.
--- a/balancer/src/admin/tenants.rs
+++ b/balancer/src/admin/tenants.rs
@@ -8,9 +8,9 @@
 use serde_json::{Value, json};
 use tracing::info;
 
-use super::http::Reply;
 use super::parse;
 use crate::front::nats::tenants::{Identity, StoreError, Tenant, Tenants, hash, is_name, usual_share};
+use crate::http::Reply;
 
 /// Bounds of a password.
 const PASSWORD: std::ops::RangeInclusive<usize> = 12..=256;
--- a/balancer/src/config.rs
+++ b/balancer/src/config.rs
@@ -16,6 +16,9 @@
     pub listen: SocketAddr,
     /// Where discovery listens.
     pub discovery: SocketAddr,
+    /// Where the operators' staff call, if they do.
+    #[serde(default)]
+    pub admin_addr: Option<String>,
     /// For random numbers, in hex digits; new with each start.
     pub seed: String,
     /// What the machine allows.
@@ -65,6 +68,15 @@
         Ok(self)
     }
 
+    /// Where the operators' staff call: what the variable says, else what the file says, else nowhere.
+    pub fn operations(file: Option<&Config>) -> Result<Option<SocketAddr>, String> {
+        let variable = std::env::var("LB_ADMIN_ADDR").ok().map(|text| ("LB_ADMIN_ADDR", text));
+        let listed = file.and_then(|file| file.admin_addr.clone()).map(|text| ("admin_addr", text));
+        let Some((name, text)) = variable.or(listed) else { return Ok(None) };
+        let address = text.parse().map_err(|_| format!("{name}: {text:?} is no address with a port"))?;
+        Ok(Some(address))
+    }
+
     /// The seed as a number; a text that is none is hashed.
     pub fn seed(&self) -> u64 {
         u64::from_str_radix(&self.seed, 16).unwrap_or_else(|_| beaconflow_settings::digest(&self.seed))
--- a/balancer/src/core/admit.rs
+++ b/balancer/src/core/admit.rs
@@ -22,7 +22,7 @@
             self.gate.asked(self.clock.now(), &opening, &entry);
         }
         let arrival = self.ledger.open(id, opening, orders, pin, entry);
-        if self.leaving_since.is_some() {
+        if !self.takes_newcomers() {
             // Guards against newcomers placed through a program that is about to move them again.
             self.answer(id, Order::Unavailable(None));
         } else if held {
--- a/balancer/src/core/ledger.rs
+++ b/balancer/src/core/ledger.rs
@@ -226,9 +226,12 @@
         self.open.iter().map(|(id, transaction)| (*id, transaction.place)).collect()
     }
 
-    pub(super) fn standing_ids(&self) -> Vec<u64> {
-        let stands = |place: &Place| matches!(place, Place::Standing(_));
-        self.places().into_iter().filter(|(_, place)| stands(place)).map(|(id, _)| id).collect()
+    /// The connections that stand and have not been told to move, the longest open first.
+    pub(super) fn movable(&self) -> Vec<u64> {
+        let stays = |transaction: &Transaction| {
+            matches!(transaction.place, Place::Standing(_)) && !transaction.moving
+        };
+        self.open.iter().filter(|(_, transaction)| stays(transaction)).map(|(id, _)| *id).collect()
     }
 
     /// The connections that stand at a server and have not been told to move, the longest open first.
--- /dev/null
+++ b/balancer/src/core/lifecycle.rs
@@ -0,0 +1,226 @@
+//! Whether this program takes clients: one state, that of its core. No I/O.
+//!
+//! What is told of it from outside, `PING` on the clients' side and `GET /status` on the operators', reads the same
+//! state, which the core shows in an atomic: nobody who asks waits for the core.
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, AtomicU64, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+/// A core that has not turned for so long is not at work. It turns at least once a second.
+const SILENCE: Duration = Duration::from_secs(3);
+
+/// What a program is at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum State {
+    /// It does not listen yet, or knows no application server.
+    Starting,
+    /// It takes clients.
+    Serving,
+    /// It was told to stand by: its clients are moved, it takes none, and it stays.
+    Standby,
+    /// It was told to leave: its clients are moved, and it ends.
+    Leaving,
+}
+
+impl State {
+    const ALL: [State; 4] = [State::Starting, State::Serving, State::Standby, State::Leaving];
+
+    /// Its name for people.
+    pub fn name(self) -> &'static str {
+        match self {
+            State::Starting => "starting",
+            State::Serving => "serving",
+            State::Standby => "standby",
+            State::Leaving => "leaving",
+        }
+    }
+}
+
+/// What changes the state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// The listener is served, or no longer.
+    Listens(bool),
+    /// A list of application servers has been taken in.
+    Knows,
+    /// An operator wants it to stand by.
+    Standby,
+    /// An operator wants it to take clients.
+    Active,
+    /// It is to leave.
+    Leave,
+}
+
+/// A word that can't be followed in the present state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refused(pub State);
+
+impl fmt::Display for Refused {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the program is {}", self.0.name())
+    }
+}
+
+/// The state and what it follows from.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Lifecycle {
+    listens: bool,
+    knows: bool,
+    stands_by: bool,
+    leaves: bool,
+}
+
+impl Lifecycle {
+    /// The present state.
+    pub fn state(&self) -> State {
+        match self {
+            Lifecycle { leaves: true, .. } => State::Leaving,
+            Lifecycle { stands_by: true, .. } => State::Standby,
+            Lifecycle { listens: true, knows: true, .. } => State::Serving,
+            _ => State::Starting,
+        }
+    }
+
+    /// Follows a word; one that says what holds already does no harm. What leaves takes no more orders.
+    pub fn take(&mut self, word: Word) -> Result<State, Refused> {
+        match word {
+            Word::Listens(listens) => self.listens = listens,
+            Word::Knows => self.knows = true,
+            Word::Leave => self.leaves = true,
+            Word::Standby | Word::Active if self.leaves => return Err(Refused(State::Leaving)),
+            Word::Standby => self.stands_by = true,
+            Word::Active => self.stands_by = false,
+        }
+        Ok(self.state())
+    }
+}
+
+/// The state as it is shown to other threads.
+#[derive(Clone, Debug)]
+pub struct Shown(Arc<Face>);
+
+#[derive(Debug)]
+struct Face {
+    state: AtomicU8,
+    /// When the core last turned, in milliseconds since the origin.
+    turned_at: AtomicU64,
+    origin: Instant,
+    /// Clients whose openings have not been heard out, as the listener's thread tells.
+    openings: AtomicUsize,
+}
+
+impl Default for Shown {
+    fn default() -> Shown {
+        Shown::since(Instant::now())
+    }
+}
+
+impl Shown {
+    fn since(origin: Instant) -> Shown {
+        let (state, turned_at) = (AtomicU8::new(State::Starting as u8), AtomicU64::new(0));
+        Shown(Arc::new(Face { state, turned_at, origin, openings: AtomicUsize::new(0) }))
+    }
+
+    /// So many clients have not been heard out.
+    pub fn has_openings(&self, count: usize) {
+        self.0.openings.store(count, Ordering::SeqCst);
+    }
+
+    /// How many clients have not been heard out.
+    pub fn openings(&self) -> usize {
+        self.0.openings.load(Ordering::SeqCst)
+    }
+
+    /// Shows a state.
+    pub fn show(&self, state: State) {
+        self.0.state.store(state as u8, Ordering::SeqCst);
+    }
+
+    /// The core has turned.
+    pub fn turned(&self) {
+        let since = u64::try_from(self.0.origin.elapsed().as_millis()).unwrap_or(u64::MAX);
+        self.0.turned_at.store(since, Ordering::Relaxed);
+    }
+
+    /// The present state.
+    pub fn state(&self) -> State {
+        let at = usize::from(self.0.state.load(Ordering::SeqCst));
+        State::ALL.get(at).copied().unwrap_or(State::Starting)
+    }
+
+    /// Whether the core is at work.
+    pub fn works(&self) -> bool {
+        let turned = Duration::from_millis(self.0.turned_at.load(Ordering::Relaxed));
+        self.0.origin.elapsed().saturating_sub(turned) < SILENCE
+    }
+
+    /// Whether clients are taken.
+    pub fn is_ready(&self) -> bool {
+        self.state() == State::Serving && self.works()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    /// The plain model: all that was ever said, read anew each time.
+    fn expected(said: &[Word]) -> State {
+        let leaves = said.iter().position(|word| *word == Word::Leave);
+        let orders = &said[..leaves.unwrap_or(said.len())];
+        let last_order = orders.iter().rev().find(|word| matches!(word, Word::Standby | Word::Active));
+        let listens = said.iter().rev().find(|word| matches!(word, Word::Listens(_)));
+        if leaves.is_some() {
+            State::Leaving
+        } else if last_order == Some(&Word::Standby) {
+            State::Standby
+        } else if listens == Some(&Word::Listens(true)) && said.contains(&Word::Knows) {
+            State::Serving
+        } else {
+            State::Starting
+        }
+    }
+
+    fn words() -> impl Strategy<Value = Vec<Word>> {
+        let word = prop_oneof![
+            any::<bool>().prop_map(Word::Listens),
+            Just(Word::Knows),
+            Just(Word::Standby),
+            Just(Word::Active),
+            Just(Word::Leave),
+        ];
+        proptest::collection::vec(word, 0..24)
+    }
+
+    proptest! {
+        #[test]
+        fn any_sequence_of_words_leads_where_the_plain_model_says(words in words()) {
+            let mut lifecycle = Lifecycle::default();
+            for (count, word) in words.iter().enumerate() {
+                let left = words[..count].contains(&Word::Leave);
+                let refused = left && matches!(word, Word::Standby | Word::Active);
+                let state = expected(&words[..=count]);
+                let answer = if refused { Err(Refused(State::Leaving)) } else { Ok(state) };
+                prop_assert_eq!(lifecycle.take(*word), answer);
+                prop_assert_eq!(lifecycle.state(), state);
+            }
+        }
+    }
+
+    #[test]
+    fn a_core_that_has_not_turned_for_long_is_not_ready() {
+        let shown = Shown::default();
+        shown.show(State::Serving);
+        assert!(shown.is_ready());
+        let start = Instant::now().checked_sub(SILENCE * 2).expect("the machine runs for longer");
+        let shown = Shown::since(start);
+        shown.show(State::Serving);
+        assert!(!shown.is_ready());
+        shown.turned();
+        assert!(shown.is_ready());
+    }
+}
--- a/balancer/src/core/mod.rs
+++ b/balancer/src/core/mod.rs
@@ -5,8 +5,10 @@
 
 mod admit;
 mod door;
+mod drain;
 mod farm;
 mod ledger;
+pub mod lifecycle;
 mod overrides;
 mod route;
 #[cfg(test)]
@@ -31,27 +33,19 @@
 
 use door::Gate;
 pub use door::{AccountLook, Config as DoorConfig, DoorLook};
+use drain::Drain;
 use farm::Farm;
 pub use farm::{ApplicationServer, Mark, ServerLook};
 pub use ledger::Counts;
-use ledger::{Ledger, Place, Stands};
+use ledger::{Ledger, Stands};
+use lifecycle::{Lifecycle, Refused, Shown, State, Word};
 pub use overrides::{InEffect, OverrideChange};
 use tracing::{info, warn};
 
 use crate::clock::{Clock, nanos};
 use crate::farm::{List, News};
 
-/// The moves of a planned restart are spread over this. Guards against a herd of clients that all come again at
-/// once and overrun the application servers' set-ups.
-const LEAVE_MOVES: Duration = Duration::from_millis(1_800);
-/// New connections still come for so long after the word to leave.
-const LEAVE_LEAST: Duration = Duration::from_millis(700);
-/// Transactions still open after this get their final answer.
-const LEAVE_ANSWERS: Duration = Duration::from_millis(2_700);
-/// The program is gone by then; it may be killed 3.7 s after the word.
-const LEAVE_MOST: Duration = Duration::from_millis(3_300);
-/// Period of the core's own look at what it leaves behind, and of its log line.
-const LEAVE_TICK: Duration = Duration::from_millis(20);
+/// Period of the log line of what has been counted.
 const COUNTS_PERIOD: Duration = Duration::from_secs(5);
 /// Accounts over their shares are looked for this often.
 const SHARES_PERIOD: Duration = Duration::from_secs(1);
@@ -108,8 +102,8 @@
     Lost(u64),
     /// News of the farm.
     Farm(News),
-    /// The program is to leave.
-    Terminate,
+    /// A word on what the program is to be at; the answer is given once it holds.
+    Told(Word, Option<Told>),
     /// Somebody wants to see the counts and the farm.
     Look(Sender<Look>),
     /// Somebody wants to see who waits at the door and what each account got.
@@ -122,6 +116,22 @@
     Overrides(Vec<OverrideChange>, Option<Sender<InEffect>>),
 }
 
+/// Hears what came of a word.
+pub struct Told(Box<dyn FnOnce(Result<State, Refused>) + Send>);
+
+impl Told {
+    /// Somebody who hears it, and does not block.
+    pub fn new(hear: impl FnOnce(Result<State, Refused>) + Send + 'static) -> Told {
+        Told(Box::new(hear))
+    }
+}
+
+impl std::fmt::Debug for Told {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Told")
+    }
+}
+
 /// Takes orders to whoever serves a transaction, and does not block.
 pub trait Carrier: std::fmt::Debug + Send + Sync {
     /// Takes one order.
@@ -172,6 +182,7 @@
     next: Arc<AtomicU64>,
     /// Open connections, also those that have had their answer and linger.
     connections: Arc<AtomicUsize>,
+    shown: Shown,
     clock: Clock,
     connect_timeout: Duration,
     slow: Duration,
@@ -226,6 +237,11 @@
         self.connections.load(Ordering::Relaxed)
     }
 
+    /// What the program is at, as the core shows it: nobody waits for it.
+    pub fn shown(&self) -> &Shown {
+        &self.shown
+    }
+
     /// A look at the core; nothing if it does not answer.
     pub fn look(&self) -> Option<Look> {
         self.ask(Event::Look)
@@ -304,6 +320,7 @@
         events,
         next: Arc::default(),
         connections: Arc::default(),
+        shown: Shown::default(),
         clock: start.clock,
         connect_timeout: Duration::from_nanos(settings.limits.connect_timeout),
         slow: Duration::from_nanos(slow),
@@ -324,7 +341,11 @@
         set: 0,
         watch: start.watch,
         slow,
-        leaving_since: None,
+        lifecycle: Lifecycle::default(),
+        shown: handle.shown.clone(),
+        connections: Arc::clone(&handle.connections),
+        drain: None,
+        drains: 0,
         actions: Vec::new(),
         moves: BTreeMap::new(),
         judgement: Judgement::default(),
@@ -340,9 +361,10 @@
     Module(TimerId),
     /// A connection that stood before the start is to be opened again.
     Held(u64),
-    /// The client is moved as the program leaves.
-    Move(u64),
-    Leaving,
+    /// The client is moved in the drain of that number.
+    Drained(u64, u64),
+    /// That drain goes on.
+    Drain(u64),
     Counts,
     /// Accounts may be over their shares.
     Shares,
@@ -370,7 +392,14 @@
     watch: Sender<()>,
     /// A message that takes this long is slow.
     slow: Nanos,
-    leaving_since: Option<Nanos>,
+    lifecycle: Lifecycle,
+    shown: Shown,
+    /// Open connections, also those that have had their last word.
+    connections: Arc<AtomicUsize>,
+    /// The drain that is on.
+    drain: Option<Drain>,
+    /// Drains so far.
+    drains: u64,
     actions: Vec<Action>,
     /// The servers that an operator has emptied, by the override that says so.
     moves: BTreeMap<ServerId, (Id, Pace)>,
@@ -402,6 +431,7 @@
             while self.timers.peek().is_some_and(|Reverse((at, ..))| *at <= self.clock.now()) {
                 self.fire();
             }
+            self.shown.turned();
             if self.has_left() {
                 return;
             }
@@ -426,7 +456,12 @@
                 let failed = api::Event::List { kind: api::ListKind::Failed, entries: Vec::new() };
                 self.decide(failed);
             }
-            Event::Terminate => self.leave(),
+            Event::Told(word, told) => {
+                let answer = self.follow_word(word);
+                if let Some(Told(told)) = told {
+                    told(answer);
+                }
+            }
             Event::Door(config) => {
                 self.gate.configure(config);
                 self.give_turns();
@@ -454,6 +489,11 @@
         info!(part = self.name, generation, kind = ?kind, entries = count, "list taken in");
         self.decide(api::Event::List { kind, entries });
         self.follow_overrides();
+        // A list that was never heard of, empty by default, is no knowledge of the farm.
+        if !known || count > 0 {
+            // Refused to no word of the program's own.
+            let _ = self.follow_word(Word::Knows);
+        }
     }
 
     // ---- book ----
@@ -468,9 +508,7 @@
             self.gate.stands(class, took);
             self.decide(api::Event::Established { request: RequestId(id), attempt });
         }
-        if self.leaving_since.is_some() {
-            self.order_move(id);
-        }
+        self.drain_stands(id);
     }
 
     fn ended(&mut self, id: u64, outcome: Outcome, took: Duration) {
@@ -530,8 +568,8 @@
         match due {
             Due::Module(timer) => self.decide(api::Event::Timer(timer)),
             Due::Held(id) => self.reopen(id),
-            Due::Move(id) => self.order_move(id),
-            Due::Leaving => self.go_on_leaving(),
+            Due::Drained(number, id) => self.drained(number, id),
+            Due::Drain(number) => self.go_on_draining(number),
             Due::Door => self.door_is_due(),
             Due::Overrides => self.overrides_are_due(),
             Due::Moves => self.go_on_moving(),
@@ -574,43 +612,4 @@
             "counts"
         );
     }
-
-    // ---- leaving ----
-
-    /// Moves all clients, spread over a while; newcomers are answered as they come.
-    fn leave(&mut self) {
-        if self.leaving_since.is_some() {
-            return;
-        }
-        self.leaving_since = Some(self.clock.now());
-        let standing = self.ledger.standing_ids();
-        info!(part = self.name, clients = standing.len(), "leaving");
-        let count = u32::try_from(standing.len().max(1)).unwrap_or(u32::MAX);
-        for (at, id) in (0..).zip(standing) {
-            self.wake(LEAVE_MOVES * at / count, Due::Move(id));
-        }
-        self.wake(LEAVE_TICK, Due::Leaving);
-    }
-
-    fn go_on_leaving(&mut self) {
-        self.wake(LEAVE_TICK, Due::Leaving);
-        if self.left_for() < LEAVE_ANSWERS {
-            return;
-        }
-        for (id, place) in self.ledger.places() {
-            if !matches!(place, Place::Standing(_)) {
-                self.answer(id, Order::Failed);
-            }
-        }
-    }
-
-    fn left_for(&self) -> Duration {
-        let since = self.leaving_since.unwrap_or(Nanos::MAX);
-        Duration::from_nanos(self.clock.now().saturating_sub(since))
-    }
-
-    fn has_left(&self) -> bool {
-        self.leaving_since.is_some()
-            && (self.left_for() >= LEAVE_MOST || self.left_for() >= LEAVE_LEAST && self.ledger.len() == 0)
-    }
 }
--- a/balancer/src/core/testing.rs
+++ b/balancer/src/core/testing.rs
@@ -45,6 +45,12 @@
 }
 
 impl Orders {
+    /// How often a client was told to move.
+    pub(super) fn moves(&self, id: u64) -> usize {
+        let orders = self.0.lock().expect("sound");
+        orders.iter().filter(|(of, order)| *of == id && matches!(order, Order::Move)).count()
+    }
+
     /// How many passes a transaction was ordered, and how many final answers.
     pub(super) fn of(&self, id: u64) -> (usize, usize) {
         let orders = self.0.lock().expect("sound");
--- a/balancer/src/front/mod.rs
+++ b/balancer/src/front/mod.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crate::core::Opening;
+use crate::core::lifecycle::State;
 use crate::net;
 use crate::pass::{Asking, PassError};
 
@@ -45,6 +46,11 @@
     /// What a client's line means before its connection is opened. Waits for nothing.
     fn first(&self, line: &[u8], now: u64) -> First<Self::Request>;
 
+    /// The words that tell what the program is at; nothing ready is taken for a yes.
+    fn state(&self, _at: State, _ready: bool) -> &'static [u8] {
+        b""
+    }
+
     /// Why there is no opening, for a client that sent none in time or too long a line.
     fn no_opening(&self, why: NoOpening) -> Refusal;
 
@@ -88,6 +94,8 @@
 pub enum First<R> {
     /// It is answered, and another one follows.
     Reply(&'static [u8]),
+    /// It asks whether clients are taken, and another one follows.
+    Asks,
     /// It opens a connection.
     Opening(R),
     /// It breaks the wire's rules.
--- a/balancer/src/front/platform.rs
+++ b/balancer/src/front/platform.rs
@@ -9,6 +9,7 @@
 
 use super::{First, Followed, FrameFault, Framer, Front, NoOpening, Refusal, Seen, Word};
 use crate::core::Opening;
+use crate::core::lifecycle::State;
 use crate::net::trimmed;
 use crate::pass::{Answer, Asking, PassError};
 
@@ -165,7 +166,7 @@
     fn first(&self, line: &[u8], now: u64) -> First<(Opening, Greeting)> {
         let line = trimmed(line);
         if line == b"PING" {
-            return First::Reply(b"PONG\r\n");
+            return First::Asks;
         }
         match self.read(line, now) {
             Ok(request) => First::Opening(request),
@@ -176,6 +177,16 @@
         }
     }
 
+    fn state(&self, at: State, ready: bool) -> &'static [u8] {
+        match at {
+            State::Serving if ready => b"PONG\r\n",
+            State::Serving => b"NO core\r\n",
+            State::Starting => b"NO starting\r\n",
+            State::Standby => b"NO standby\r\n",
+            State::Leaving => b"NO leaving\r\n",
+        }
+    }
+
     fn no_opening(&self, why: NoOpening) -> Refusal {
         Refusal::new(b"ERR\r\n", format!("{why:?}"))
     }
--- a/balancer/src/admin/http.rs
+++ b/balancer/src/http.rs
@@ -1,4 +1,5 @@
-//! HTTP/1.1 as the administration API needs it: one request a connection, a head and a body of bounded length.
+//! HTTP/1.1 as the administration API and the operations port need it: one request a connection, a head and a body of
+//! bounded length.
 
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
@@ -7,9 +8,8 @@
 
 use crate::net::{self, Intake, ReadError};
 
-/// Longest head and longest body of a request.
-const LONGEST_HEAD: usize = 8 * 1024;
-const LONGEST_BODY: usize = 16 * 1024;
+/// Longest head and longest body of a request to the administration API.
+const LONGEST: (usize, usize) = (8 * 1024, 16 * 1024);
 /// A request is whole by then or is given up.
 const PATIENCE: Duration = Duration::from_secs(5);
 /// An answered peer is read for so long.
@@ -77,26 +77,61 @@
     }
 }
 
+/// A request on its way in.
+pub struct Incoming {
+    intake: Intake,
+    most_body: usize,
+    /// Its head, once whole, and how long its body is to be.
+    head: Option<(Request, usize)>,
+}
+
+impl Incoming {
+    /// Nothing has come yet; so much is kept of a head, and so much of a body.
+    pub fn new((head, body): (usize, usize)) -> Incoming {
+        Incoming { intake: Intake::new(head), most_body: body, head: None }
+    }
+
+    /// Reads on once, until the deadline at the latest.
+    pub fn read(&mut self, client: &TcpStream, until: Instant) -> Result<(), ReadError> {
+        self.intake.read(client, until)
+    }
+
+    /// The request, if it is whole.
+    pub fn whole(&mut self) -> Result<Option<Request>, Unread> {
+        if self.head.is_none() {
+            let Some((request, head, length)) = parse_head(self.intake.bytes())? else { return Ok(None) };
+            if length > self.most_body {
+                return Err(Unread::Refused(Reply::error(413, "the body is too long")));
+            }
+            self.intake.take(head);
+            // What came with the head may be more than the body.
+            let rest = std::mem::replace(&mut self.intake, Intake::new(0)).into_rest();
+            self.intake = Intake::holding(rest, self.most_body);
+            self.head = Some((request, length));
+        }
+        match self.head.take() {
+            Some((mut request, length)) if self.intake.bytes().len() >= length => {
+                request.body = self.intake.take(length);
+                Ok(Some(request))
+            }
+            head => {
+                self.head = head;
+                Ok(None)
+            }
+        }
+    }
+}
+
 /// Reads a whole request.
 pub fn read(client: &TcpStream) -> Result<Request, Unread> {
     let until = Instant::now() + PATIENCE;
-    let mut intake = Intake::new(LONGEST_HEAD);
-    let (mut request, head, length) = loop {
-        if let Some(parsed) = parse_head(intake.bytes())? {
-            break parsed;
+    let mut incoming = Incoming::new(LONGEST);
+    loop {
+        if let Some(request) = incoming.whole()? {
+            return Ok(request);
         }
-        intake.read(client, until)?;
-    };
-    if length > LONGEST_BODY {
-        return Err(Unread::Refused(Reply::error(413, "the body is too long")));
+        incoming.read(client, until)?;
     }
-    intake.take(head);
-    let mut body = Intake::holding(intake.into_rest(), LONGEST_BODY);
-    while body.bytes().len() < length {
-        body.read(client, until)?;
-    }
-    request.body = body.take(length);
-    Ok(request)
 }
 
 /// The request, the length of its head and that of its body; nothing while the head is not whole.
@@ -143,32 +178,44 @@
         401 => "Unauthorized",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        408 => "Request Timeout",
         409 => "Conflict",
+        411 => "Length Required",
         412 => "Precondition Failed",
+        413 => "Content Too Large",
         422 => "Unprocessable Content",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
         503 => "Service Unavailable",
         507 => "Insufficient Storage",
         _ => "Error",
     }
 }
 
+impl Reply {
+    /// The answer as it is written.
+    pub fn bytes(&self) -> Vec<u8> {
+        let body = if self.body.is_null() { String::new() } else { self.body.to_string() };
+        let mut text = format!("HTTP/1.1 {} {}\r\nConnection: close\r\n", self.status, reason(self.status));
+        if self.status != 204 {
+            text.push_str(&format!("Content-Type: application/json\r\nContent-Length: {}\r\n", body.len()));
+        }
+        if self.status == 401 {
+            text.push_str("WWW-Authenticate: Bearer\r\n");
+        }
+        for (name, value) in &self.headers {
+            text.push_str(&format!("{name}: {value}\r\n"));
+        }
+        text.push_str("\r\n");
+        text.push_str(&body);
+        text.into_bytes()
+    }
+}
+
 /// Writes an answer and ends the connection.
 pub fn write(client: &TcpStream, reply: &Reply) {
-    let body = if reply.body.is_null() { String::new() } else { reply.body.to_string() };
-    let mut head = format!("HTTP/1.1 {} {}\r\nConnection: close\r\n", reply.status, reason(reply.status));
-    if reply.status != 204 {
-        head.push_str(&format!("Content-Type: application/json\r\nContent-Length: {}\r\n", body.len()));
-    }
-    if reply.status == 401 {
-        head.push_str("WWW-Authenticate: Bearer\r\n");
-    }
-    for (name, value) in &reply.headers {
-        head.push_str(&format!("{name}: {value}\r\n"));
-    }
-    head.push_str("\r\n");
     // A peer that is gone needs no answer.
-    let until = Instant::now() + net::WRITE_PATIENCE;
-    let _ = net::write_until(client, &[head.as_bytes(), body.as_bytes()], until);
+    let _ = net::write_until(client, &[&reply.bytes()], Instant::now() + net::WRITE_PATIENCE);
     net::finish(client);
     net::drain(client, LAST_WORD);
 }
--- a/balancer/src/net.rs
+++ b/balancer/src/net.rs
@@ -29,6 +29,23 @@
     Ok(socket.into())
 }
 
+/// A front's listener.
+pub struct Listener {
+    /// It does not block.
+    pub socket: TcpListener,
+    /// Another process accepts from it too, or is about to: what has not been accepted is left to it.
+    pub shared: bool,
+}
+
+impl Listener {
+    /// A listener of this program alone.
+    pub fn bound(on: SocketAddr) -> io::Result<Listener> {
+        let socket = listen(on)?;
+        socket.set_nonblocking(true)?;
+        Ok(Listener { socket, shared: false })
+    }
+}
+
 /// Sets a socket up for the relay. A line goes out when it comes in, and nothing done with it blocks.
 pub fn prepare(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
--- a/balancer/src/poller.rs
+++ b/balancer/src/poller.rs
@@ -1,8 +1,7 @@
-//! What one thread waits for when it serves many connections: their streams, and a bell.
+//! What one thread waits for when it serves many connections: their streams, their listener, and a bell.
 
 use std::io;
-use std::net::TcpStream;
-use std::os::fd::OwnedFd;
+use std::os::fd::{AsFd, OwnedFd};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -48,11 +47,11 @@
         self.bell.clone()
     }
 
-    /// Watches a stream for what is wanted of it from now on. One of which nothing is wanted is not watched at all:
+    /// Watches a stream or a listener for what is wanted of it from now on. One of which nothing is wanted is not watched at all:
     /// its end would cut every wait short.
     pub fn watch(
         &self,
-        stream: &TcpStream,
+        stream: &impl AsFd,
         token: u64,
         (before, wanted): (EventFlags, EventFlags),
     ) -> io::Result<()> {
--- a/balancer/src/reload.rs
+++ b/balancer/src/reload.rs
@@ -84,6 +84,7 @@
         changes.sockets(sockets, (file.limits.sockets, new.limits.sockets));
         changes.fixed("name", file.name == new.name);
         changes.fixed("listen", file.listen == new.listen);
+        changes.fixed("admin_addr", file.admin_addr == new.admin_addr);
         if !file.settings.shares().eq(new.settings.shares()) {
             let shares = new.settings.shares().map(|(name, share)| (name.into(), share));
             core.tell(Event::Shares(shares.collect()));
--- a/balancer/src/serve.rs
+++ b/balancer/src/serve.rs
@@ -15,12 +15,14 @@
 use crate::admin::Admin;
 use crate::clock::Clock;
 use crate::config::Config;
+use crate::core::lifecycle::Word;
 use crate::core::{self, DoorConfig, Event, Handle, Start};
 use crate::farm::{Target, Watcher};
 use crate::front::nats::Nats as Front;
 use crate::front::nats::tenants::Tenants;
 use crate::front::platform::Platform;
-use crate::net;
+use crate::net::{self, Listener};
+use crate::operations;
 use crate::operator::{self, FarmSource, Nats, Operator};
 use crate::overrides::{self, Keeper, NamedCore};
 use crate::reload::{Reload, Sockets};
@@ -62,8 +64,10 @@
     let door = operator.as_ref().map(|(_, operator)| operator.admission.clone()).unwrap_or_default();
     let (mut serving, mut reloads) = (Vec::new(), Vec::new());
     // The platform starts a balancer without a word; an operator's file may stand alone.
-    if operator.is_none() || on_platform {
-        let (front, reload) = start_platform(Config::read()?, clock, &set, &door)?;
+    let config = if operator.is_none() || on_platform { Some(Config::read()?) } else { None };
+    let operations_on = Config::operations(config.as_ref())?;
+    if let Some(config) = config {
+        let (front, reload) = start_platform(config, clock, (&set, &door))?;
         serving.push(front);
         reloads.push(reload);
     }
@@ -92,12 +96,16 @@
         reloads.push(Reload::Operator { path, others, file, target, sockets, cores, farms: 0 });
     }
     let told: Vec<Handle> = serving.iter().map(|front| front.core.clone()).collect();
+    if let Some(on) = operations_on {
+        let operations = operations::listen(on, told.clone())?;
+        spawn("operations", move || operations.run())?;
+    }
     spawn("signals", move || {
         let mut leaving = false;
         for signal in &mut signals {
             if signal != SIGHUP {
                 leaving = true;
-                told.iter().for_each(|core| core.tell(Event::Terminate));
+                told.iter().for_each(|core| core.tell(Event::Told(Word::Leave, None)));
             } else if leaving {
                 info!(part = "reload", "left out: the program is leaving");
             } else {
@@ -119,8 +127,7 @@
 fn start_platform(
     file: Config,
     clock: Clock,
-    overrides: &Set,
-    door: &DoorConfig,
+    (overrides, door): (&Set, &DoorConfig),
 ) -> Result<(Serving, Reload), String> {
     let config = file.clone().overruled()?;
     let (watcher, watch) = Watcher::new(config.discovery, config.known.generation);
@@ -132,7 +139,7 @@
     let start = Start { name: "core", setup, seed, clock, known, watch, overrides, door };
     let (core, thread) = start_core(start, Some(watcher))?;
     let sockets = Sockets::new(config.limits.sockets.into());
-    start_front(front, config.listen, Arc::clone(&sockets), &core)?;
+    start_front(front, listen(config.listen)?, Arc::clone(&sockets), &core)?;
     info!(part = "main", front = "platform", name = config.name, on = %config.listen, "serves");
     let reload = Reload::Platform { file: Box::new(file), target, sockets, core: core.clone() };
     Ok((Serving { front: "platform", core, thread }, reload))
@@ -168,7 +175,7 @@
     let (core, thread) = start_core(start, watcher)?;
     let front = Arc::new(Front::new(nats.name.clone(), Arc::clone(&setup), Arc::clone(&tenants), nats.wire));
     let sockets = Sockets::new(nats.sockets.into());
-    start_front(front, nats.listen, Arc::clone(&sockets), &core)?;
+    start_front(front, listen(nats.listen)?, Arc::clone(&sockets), &core)?;
     info!(part = "main", front = "nats", name = nats.name, on = %nats.listen, "serves");
     Ok((Serving { front: "nats", core, thread }, NatsParts { tenants, setup, target, sockets }))
 }
@@ -200,14 +207,37 @@
 
 fn start_front<F: crate::front::Front>(
     front: Arc<F>,
-    on: SocketAddr,
+    listener: Listener,
     sockets: Sockets,
     core: &Handle,
 ) -> Result<(), String> {
-    let listener = net::listen(on).map_err(|error| format!("listen on {on}: {error}"))?;
     let core = core.clone();
     let desk = stages::transaction::serve(&front, &core).map_err(|error| format!("transactions: {error}"))?;
-    spawn("take-in", move || stages::take_in::listen(&front, &listener, (&core, &sockets), &desk))
+    spawn("take-in", move || {
+        // Guards against a program that says yes and hears nobody.
+        let _listens = Listens::begin(&core);
+        stages::take_in::listen(&front, &listener, (&core, &sockets), &desk);
+    })
+}
+
+fn listen(on: SocketAddr) -> Result<Listener, String> {
+    Listener::bound(on).map_err(|error| format!("listen on {on}: {error}"))
+}
+
+/// The core knows that the listener is served for as long as this lives.
+struct Listens(Handle);
+
+impl Listens {
+    fn begin(core: &Handle) -> Listens {
+        core.tell(Event::Told(Word::Listens(true), None));
+        Listens(core.clone())
+    }
+}
+
+impl Drop for Listens {
+    fn drop(&mut self) {
+        self.0.tell(Event::Told(Word::Listens(false), None));
+    }
 }
 
 fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> Result<(), String> {
--- a/balancer/src/stages/take_in.rs
+++ b/balancer/src/stages/take_in.rs
@@ -8,19 +8,20 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
-use tracing::error;
 
+use crate::core::lifecycle::State;
 use crate::core::{Counted, Handle};
 use crate::front::{First, Front, NoOpening, Refusal, Word};
 use crate::log::Bounded;
-use crate::net::{self, Intake, ReadError};
+use crate::net::{self, Intake, Listener, ReadError};
+use crate::operations;
 use crate::pass::Client;
 use crate::reload::Sockets;
 use crate::stages::relay::Link;
 use crate::stages::transaction::{Admitted, Desk};
 
-/// Descriptors that are not clients': standard streams, the listener, the watch, the signals'.
-const SPARE: usize = 24;
+/// Descriptors that are not clients': standard streams, the listener, the watch, the signals', the operations port's.
+const SPARE: usize = 24 + operations::DESCRIPTORS;
 /// Openings hold this part of the descriptors at most.
 const OPENINGS_PART: usize = 5;
 /// A client is not let go for a newcomer before it has had so long to speak. Guards against a site's clients that
@@ -53,26 +54,25 @@
 /// Accepts clients and hears their openings for as long as the program runs.
 pub fn listen<F: Front>(
     front: &Arc<F>,
-    listener: &TcpListener,
+    listener: &Listener,
     (core, sockets): (&Handle, &Sockets),
     transactions: &Desk<F>,
 ) {
     let refusals = Arc::new(Bounded::default());
     let mut door = Door { front, core, sockets, transactions, refusals, waiting: VecDeque::new() };
-    if let Err(error) = listener.set_nonblocking(true) {
-        error!(part = front.name(), why = %error, "accept failed");
-    }
     loop {
-        let has_room = door.has_room();
-        let patience = door.patience(has_room);
+        let accepts = door.accepts(listener);
+        let has_room = accepts && door.has_room();
+        let patience = door.patience(has_room || !accepts);
         let streams = door.waiting.iter().map(Waiting::polled);
-        let (clients, heard) = net::ready_of(has_room.then_some(listener), streams, patience);
+        let (clients, heard) = net::ready_of(has_room.then_some(&listener.socket), streams, patience);
         // Those that wait come first: one whose opening is there makes room, and is not let go.
         door.hear(&heard);
         door.let_go();
-        if clients {
-            door.accept(listener);
+        if clients && door.accepts(listener) {
+            door.accept(&listener.socket);
         }
+        door.tell_openings();
         door.refusals.look(front.name());
     }
 }
@@ -118,6 +118,18 @@
         left.unwrap_or(Duration::from_secs(1)).max(Duration::from_millis(1)).min(Duration::from_secs(1))
     }
 
+    /// Whether newcomers are this process's to accept: one that leaves a shared listener leaves them to the others.
+    fn accepts(&self, listener: &Listener) -> bool {
+        !listener.shared || self.core.shown().state() != State::Leaving
+    }
+
+    /// Tells how many clients have not been heard out. Guards against a program that leaves them unanswered.
+    fn tell_openings(&self) {
+        let unheard =
+            |waiting: &&Waiting| !(waiting.refused || waiting.spoke && waiting.intake.bytes().is_empty());
+        self.core.shown().has_openings(self.waiting.iter().filter(unheard).count());
+    }
+
     /// Whether one more client can be accepted, if need be for another's place.
     fn has_room(&self) -> bool {
         let (openings, _) = budget(self.sockets.load(Ordering::Relaxed));
@@ -181,9 +193,9 @@
                 place += 1;
                 continue;
             };
-            let (front, now) = (self.front, self.core.clock().now());
+            let (front, core) = (self.front, self.core);
             // Guards against a fault in the reading of one opening that would end the listener.
-            let became = catch_unwind(AssertUnwindSafe(|| hear(&**front, waiting, now)));
+            let became = catch_unwind(AssertUnwindSafe(|| hear(&**front, waiting, core)));
             match became.unwrap_or_else(|_| Heard::Refused(front.no_opening(NoOpening::TooLong))) {
                 Heard::Waits => place += 1,
                 Heard::Gone => drop(self.waiting.remove(place)),
@@ -260,7 +272,7 @@
 }
 
 /// Reads on, once, and makes of it what can be made.
-fn hear<F: Front>(front: &F, waiting: &mut Waiting, now: u64) -> Heard<F::Request> {
+fn hear<F: Front>(front: &F, waiting: &mut Waiting, core: &Handle) -> Heard<F::Request> {
     let Waiting { client, intake, spoke, .. } = waiting;
     match intake.read(client, Instant::now()) {
         Ok(()) => {}
@@ -269,18 +281,18 @@
         Err(ReadError::TooLong) => return Heard::Refused(front.no_opening(NoOpening::TooLong)),
     }
     while let Some(line) = intake.whole_line() {
-        match front.first(&line, now) {
-            First::Reply(words) => {
-                *spoke = true;
-                if net::write_gathered(client, &[words]).is_err() {
-                    return Heard::Gone;
-                }
-            }
+        let reply = match front.first(&line, core.clock().now()) {
+            First::Reply(words) => words,
+            First::Asks => front.state(core.shown().state(), core.shown().is_ready()),
             First::Refused(refusal) => return Heard::Refused(refusal),
             First::Opening(_) if intake.bytes().len() > front.most_early() => {
                 return Heard::Refused(front.no_opening(NoOpening::Piled));
             }
             First::Opening(request) => return Heard::Opened(request),
+        };
+        *spoke = true;
+        if net::write_gathered(client, &[reply]).is_err() {
+            return Heard::Gone;
         }
     }
     if intake.is_full() { Heard::Refused(front.no_opening(NoOpening::TooLong)) } else { Heard::Waits }
--- a/cli/tests/support/mod.rs
+++ b/cli/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod held;
 pub mod nats;
+pub mod site;
 
 use std::fs::Permissions;
 use std::io::{BufRead, BufReader, Read, Write};
