Handover: the clients' listener is bound or inherited, and a process is replaced while it serves

A process that shares its listener stops accepting at SIGTERM, hears out and serves what it has accepted, and does not leave before. Moves of a drain are spread over 2.7 s (1.8 s before).

Ruled out: a late yes (0.0 s), openings dropped (0), descriptors (340 of 1040) and memory (3 of 48 MB) in the overlap. What is left is the comeback of those moved: they wait for set-ups.

--- a/balancer/src/core/drain.rs
+++ b/balancer/src/core/drain.rs
@@ -12,8 +12,8 @@
 use super::{Core, Due, Order};
 
 /// The moves of a drain are spread over this. Guards against a herd of clients that all come again at once and
-/// overrun the application servers' set-ups.
-const MOVES: Duration = Duration::from_millis(1_800);
+/// overrun the application servers' set-ups: over 1.8 s they had first attempts wait for 1.5 s.
+const MOVES: Duration = Duration::from_millis(2_700);
 /// A front goes on sending newcomers for a part of a second; they are served for so long, and moved with the others.
 const NEWCOMERS: Duration = Duration::from_millis(1_500);
 /// Transactions still open after this get their final answer.
@@ -21,7 +21,7 @@
 /// A program that leaves stays for so long, for the newcomers.
 const LEAVE_LEAST: Duration = Duration::from_millis(700);
 /// It is gone by then; it may be killed 3.7 s after the word.
-const LEAVE_MOST: Duration = Duration::from_millis(3_300);
+const LEAVE_MOST: Duration = Duration::from_millis(3_500);
 /// Period of the core's own look at what it leaves behind.
 const TICK: Duration = Duration::from_millis(20);
 
@@ -172,4 +172,19 @@
         core.established(7);
         assert!(core.timers.iter().any(|timer| timer.0.2 == Due::Drained(1, 7)));
     }
+
+    #[test]
+    fn the_program_does_not_leave_a_client_that_has_not_been_heard_out() {
+        let (mut core, _) = standing(0);
+        core.follow_word(Word::Leave).expect("always");
+        let since = |core: &Core, ago| core.clock.now() - crate::clock::nanos(ago);
+        core.shown.has_openings(1);
+        core.drain = Some(Drain { number: 1, since: since(&core, LEAVE_LEAST) });
+        assert!(!core.has_left());
+        core.shown.has_openings(0);
+        assert!(core.has_left());
+        core.shown.has_openings(1);
+        core.drain = Some(Drain { number: 1, since: since(&core, LEAVE_MOST) });
+        assert!(core.has_left(), "it may be killed any time now");
+    }
 }
--- a/balancer/src/lib.rs
+++ b/balancer/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod farm;
 pub mod front;
 pub mod http;
+pub mod inherited;
 pub mod log;
 pub mod net;
 pub mod operations;
--- a/balancer/src/net.rs
+++ b/balancer/src/net.rs
@@ -40,9 +40,18 @@
 impl Listener {
     /// A listener of this program alone.
     pub fn bound(on: SocketAddr) -> io::Result<Listener> {
-        let socket = listen(on)?;
+        Listener::of(listen(on)?, false)
+    }
+
+    /// A listener that whoever started this program holds.
+    pub fn inherited(socket: TcpListener) -> io::Result<Listener> {
+        Listener::of(socket, true)
+    }
+
+    /// The flag is the file description's, and so the same for all processes that share it.
+    fn of(socket: TcpListener, shared: bool) -> io::Result<Listener> {
         socket.set_nonblocking(true)?;
-        Ok(Listener { socket, shared: false })
+        Ok(Listener { socket, shared })
     }
 }
 
--- a/balancer/src/serve.rs
+++ b/balancer/src/serve.rs
@@ -1,6 +1,6 @@
 //! The program as a whole: which fronts run, with what cores, and until when.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::thread::{Builder, JoinHandle};
@@ -21,6 +21,7 @@
 use crate::front::nats::Nats as Front;
 use crate::front::nats::tenants::Tenants;
 use crate::front::platform::Platform;
+use crate::inherited;
 use crate::net::{self, Listener};
 use crate::operations;
 use crate::operator::{self, FarmSource, Nats, Operator};
@@ -29,7 +30,7 @@
 use crate::stages;
 
 /// Connections that still linger when the core has left are waited for so long.
-const LAST_WORDS: Duration = Duration::from_millis(200);
+const LAST_WORDS: Duration = Duration::from_millis(100);
 
 /// A front that serves: the way to its core, and the thread to wait for.
 struct Serving {
@@ -48,6 +49,7 @@
 
 /// Serves until the program is told to leave. Without an operator's file it is the platform's balancer.
 pub fn serve(operator: Option<(PathBuf, Operator)>) -> Result<(), String> {
+    let inherited = inherited::take()?;
     let clock = Clock::start();
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|error| format!("signals: {error}"))?;
     // Guards against a limit on the size of files that would end the program: the write fails instead.
@@ -67,7 +69,7 @@
     let config = if operator.is_none() || on_platform { Some(Config::read()?) } else { None };
     let operations_on = Config::operations(config.as_ref())?;
     if let Some(config) = config {
-        let (front, reload) = start_platform(config, clock, (&set, &door))?;
+        let (front, reload) = start_platform(config, inherited, clock, (&set, &door))?;
         serving.push(front);
         reloads.push(reload);
     }
@@ -126,6 +128,7 @@
 
 fn start_platform(
     file: Config,
+    inherited: Option<TcpListener>,
     clock: Clock,
     (overrides, door): (&Set, &DoorConfig),
 ) -> Result<(Serving, Reload), String> {
@@ -139,8 +142,15 @@
     let start = Start { name: "core", setup, seed, clock, known, watch, overrides, door };
     let (core, thread) = start_core(start, Some(watcher))?;
     let sockets = Sockets::new(config.limits.sockets.into());
-    start_front(front, listen(config.listen)?, Arc::clone(&sockets), &core)?;
-    info!(part = "main", front = "platform", name = config.name, on = %config.listen, "serves");
+    let listener = match inherited {
+        Some(socket) => {
+            Listener::inherited(socket).map_err(|error| format!("inherited listener: {error}"))?
+        }
+        None => listen(config.listen)?,
+    };
+    let shared = listener.shared;
+    start_front(front, listener, Arc::clone(&sockets), &core)?;
+    info!(part = "main", front = "platform", name = config.name, on = %config.listen, shared, "serves");
     let reload = Reload::Platform { file: Box::new(file), target, sockets, core: core.clone() };
     Ok((Serving { front: "platform", core, thread }, reload))
 }
--- a/balancer/src/stages/relay.rs
+++ b/balancer/src/stages/relay.rs
@@ -17,7 +17,7 @@
 use crate::poller::EventFlags;
 
 /// A move waits for so long for the end of a message that has begun.
-const MOVE_PATIENCE: Duration = Duration::from_millis(900);
+const MOVE_PATIENCE: Duration = Duration::from_millis(700);
 /// Bytes relayed at a time.
 const CHUNK: usize = 4096;
 /// Questions of one connection that may be unanswered at once; a client that asks more is at fault.
--- a/cli/tests/support/mod.rs
+++ b/cli/tests/support/mod.rs
@@ -9,6 +9,7 @@
 use std::fs::Permissions;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::os::unix::fs::PermissionsExt;
 use std::os::unix::process::CommandExt;
 use std::path::Path;
@@ -63,6 +64,20 @@
         Program::begin(command, args, env)
     }
 
+    /// Starts it with a listener that this test holds, as descriptor 3.
+    pub fn start_inheriting(held: &TcpListener, env: &[(&str, &str)]) -> Program {
+        let mut command = Command::new("sh");
+        command.args(["-c", r#"exec 3<&0 </dev/null; exec "$0" "$@""#, env!("CARGO_BIN_EXE_beaconflow")]);
+        command.stdin(OwnedFd::from(held.try_clone().expect("open")));
+        Program::begin(command, &[], &[&[("LB_INHERITED_FD", "3")], env].concat())
+    }
+
+    /// Kills it outright.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("a child");
+        let _ = self.child.wait();
+    }
+
     fn begin(mut command: Command, args: &[&str], env: &[(&str, &str)]) -> Program {
         command.arg("serve").args(args).envs(env.iter().copied()).stderr(Stdio::piped());
         let mut child = command.spawn().expect("the program starts");
@@ -182,6 +197,13 @@
         }
     }
 
+    /// The same, where a reset is an end too.
+    pub fn hear_or_end(&mut self) -> Option<String> {
+        let mut line = String::new();
+        self.reader.read_line(&mut line).ok().filter(|count| *count > 0)?;
+        Some(line)
+    }
+
     pub fn hears(&mut self, words: &str) {
         assert_eq!(self.hear().as_deref(), Some(words));
     }
