A herd shares its windows of set-ups and moves nobody for what weighs little in all

The log: at their least windows, 3 each, 48 balancers kept 144 set-ups under way; up to 761 time-outs in 5 s; two moves a first try.

Checked and ruled out: the list (171 failed watches of 48 balancers, each back within 2 s), hung servers, descriptors (88 of 468), CPU (0.01 of a core).

A gateway of three or fewer decides as before but for the repeats.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -7,7 +7,7 @@
 use rand_pcg::Pcg32;
 
 use crate::api::*;
-use crate::state::{Books, Due, Faults, Mean, Request, Server, Tally, part, seconds};
+use crate::state::{Books, Due, FEW_GATEWAYS, Faults, Mean, Request, Server, Tally, part, seconds};
 
 /// First backoff step of a placement, as a part of its class's aim.
 const BASE_OF_AIM: f64 = 0.25;
@@ -32,9 +32,9 @@
 const RELIEF_LATE: f64 = 0.25;
 /// Part of what it holds on a server with late messages that a gateway moves each time.
 const MOVED: f64 = 0.37;
-/// A server that holds this many times the mean load per weight is evened out, by connections that are at
-/// least this part of what it holds and that leave no server above this part of its load per weight.
-const EVEN_OVER_MEAN: f64 = 1.5;
+/// A server this part over the mean load per weight, by the load of all gateways, is evened out, by such as
+/// hold at least this part of what it does and leave no server above this part of its load per weight.
+const EVEN_EXCESS: f64 = 0.5;
 const EVEN_LEAST: f64 = 0.03;
 const EVEN_GAIN: f64 = 0.8;
 /// Connections moved off a leaving server in each housekeeping period, at least.
@@ -91,7 +91,7 @@
     pub fn new(settings: Settings, seed: u64) -> Result<Balancer, SettingsError> {
         settings.check()?;
         let (rng, books) = (Pcg32::seed_from_u64(seed), Books::new(settings.classes.len()));
-        Ok(Balancer { settings, rng, books, tally: Tally::default() })
+        Ok(Balancer { rng, books, tally: Tally::of(settings.gateways), settings })
     }
 
     /// Takes one event and appends what is to be done about it.
@@ -245,13 +245,13 @@
         }
     }
 
-    /// An attempt that can be repeated gets less than the time left, so that a silent server costs
-    /// no more than one of the attempts. One that cannot be repeated gets it all.
+    /// An attempt that can be repeated gets less than the time left, so that a silent server costs only one
+    /// attempt; each repeat gets twice as long: what times out again may be overrun and not silent.
     fn attempt_timeout(&self, now: Nanos, request: &Request) -> Nanos {
         let (class, limits) = (&self.settings.classes[request.arrival.class.0], &self.settings.limits);
-        let (left, last) = (request.arrival.give_up_at - now, request.attempts + 1 >= limits.max_attempts);
-        let short = class.aim.max(limits.connect_timeout.saturating_mul(2));
-        if last || class.repeat != Repeat::Safe { left } else { left.min(short) }
+        let (left, made) = (request.arrival.give_up_at - now, request.attempts);
+        let short = class.aim.max(limits.connect_timeout.saturating_mul(2)) << made.min(MAX_DOUBLINGS);
+        if made + 1 >= limits.max_attempts || class.repeat != Repeat::Safe { left } else { left.min(short) }
     }
 
     fn on_established(&mut self, now: Nanos, id: RequestId, attempt: u32) {
@@ -581,11 +581,12 @@
     /// Guards against servers that say nothing of their strain: a gateway then has only the loads of its own
     /// connections to go by, and these last too long for the rotation to make up for a few heavy ones.
     fn even_out(&mut self, out: &mut Vec<Action>) {
-        let mean = self.books.load_of_all() / self.tally.weights.max(f64::MIN_POSITIVE);
+        let over = 1.0 + EVEN_EXCESS * (f64::from(self.settings.gateways) / FEW_GATEWAYS).max(1.0);
+        let limit = over * self.books.load_of_all() / self.tally.weights.max(f64::MIN_POSITIVE);
         let seen = |server: &Server| (server.entry.server, self.books.load(server), server.weight_to_come());
         let loads: Vec<(ServerId, f64, f64)> = self.books.ready().map(seen).collect();
         for &(id, load, weight) in &loads {
-            if load <= EVEN_OVER_MEAN * mean * weight {
+            if load <= limit * weight {
                 continue;
             }
             // The heaviest that, wherever it goes, leaves that server with less than this one has now.
@@ -609,9 +610,8 @@
     /// clients that are cut off when their server leaves, and against all of them coming again at once.
     fn empty_leaving(&mut self, out: &mut Vec<Action>) {
         let leaves = |server: &&Server| !server.ready && server.entry.state != State::Out;
-        let leaving = self.books.servers.values().filter(leaves);
-        let leaving: Vec<ServerId> = leaving.map(|server| server.entry.server).collect();
-        for id in leaving {
+        let leaving = self.books.servers.values().filter(leaves).map(|server| server.entry.server);
+        for id in leaving.collect::<Vec<ServerId>>() {
             let there = self.books.heaviest_at(id);
             let count = there.len().div_ceil(2).max(LEAVING_LEAST);
             for (_, moved) in there.into_iter().take(count) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -152,39 +152,59 @@
     pub(crate) window: Window,
 }
 
+impl Tally {
+    /// The counts of one of so many gateways.
+    pub(crate) fn of(gateways: u32) -> Tally {
+        Tally { window: Window::of(gateways), ..Tally::default() }
+    }
+}
+
 /// How many set-ups may be under way at once: one more for each windowful that succeeds, cut by failures.
 pub(crate) struct Window {
     size: f64,
+    least: f64,
+    most: f64,
     cut_at: Option<Nanos>,
 }
 
-/// Set-ups under way at once: at the start, at least and at most.
+/// Set-ups under way at once of one gateway of a few: at the start, at least and at most.
 const FIRST_WINDOW: f64 = 12.0;
 const LEAST_WINDOW: f64 = 3.0;
 const MOST_WINDOW: f64 = 48.0;
+/// More gateways than so many share their windows, and see only a part of a server's load. Guards against dozens of which each, at its least, still keeps
+/// what the servers share overrun for all.
+pub(crate) const FEW_GATEWAYS: f64 = 3.0;
 /// What is left of a window after failures, which count once within the span, in nanoseconds.
 const WINDOW_CUT: f64 = 0.6;
 const CUT_PERIOD: Nanos = 150_000_000;
 
 impl Default for Window {
     fn default() -> Window {
-        Window { size: FIRST_WINDOW, cut_at: None }
+        Window::of(1)
     }
 }
 
 impl Window {
+    /// The window of one of so many gateways.
+    pub(crate) fn of(gateways: u32) -> Window {
+        let part = (FEW_GATEWAYS / f64::from(gateways)).min(1.0);
+        let [size, least, most] =
+            [FIRST_WINDOW, LEAST_WINDOW, MOST_WINDOW].map(|size| (size * part).max(1.0));
+        Window { size, least, most, cut_at: None }
+    }
+
     pub(crate) fn get(&self) -> f64 {
         self.size
     }
 
     pub(crate) fn grow(&mut self) {
-        self.size = (self.size + 1.0 / self.size).min(MOST_WINDOW);
+        self.size = (self.size + 1.0 / self.size).min(self.most);
     }
 
     pub(crate) fn cut(&mut self, now: Nanos) {
         if !within(self.cut_at, now, CUT_PERIOD) {
             self.cut_at = Some(now);
-            self.size = (self.size * WINDOW_CUT).max(LEAST_WINDOW);
+            self.size = (self.size * WINDOW_CUT).max(self.least);
         }
     }
 }
