What stands is handed over to the process that takes this one's place, sockets and opening line

Change: handover.rs. At SIGTERM both sockets of each standing connection and the client's opening line go through a SOCK_SEQPACKET socket in TMPDIR to the latest process, which reads the line as it reads any other and books the connection as standing; the module hears of it as of one that stood before a start. What is in the midst of a line, or can't be given, is moved when its turn in the drain comes, as before.

Checked: sockets leave the old poller before they are given, since an epoll goes on telling of descriptions that live elsewhere.

Tests: six connections through two replacements, one inside a line, an id still taken, nobody to give to; a folder that isn't there; what is no socket in the place, and a message that is none.

--- a/balancer/src/admin/farm.rs
+++ b/balancer/src/admin/farm.rs
@@ -27,7 +27,7 @@
         let ends: BTreeMap<&str, u64> = look.counts.ends().collect();
         let counts = &look.counts;
         let row = json!({
-            "open": look.open, "standing": look.standing, "opened": counts.opened,
+            "open": look.open, "standing": look.standing, "opened": counts.opened, "adopted": counts.adopted,
             "served": counts.served, "unavailable": counts.unavailable, "failed": counts.failed,
             "left": counts.left, "moved": counts.moved, "pinned": counts.pinned, "passes": counts.passes,
             "ends": ends,
--- a/balancer/src/core/admit.rs
+++ b/balancer/src/core/admit.rs
@@ -32,6 +32,20 @@
         }
     }
 
+    /// Books a connection that stands already. One at a server that this program has not heard of is moved.
+    pub(super) fn adopt(&mut self, id: u64, opening: Opening, server: &str, orders: Arc<dyn Carrier>) {
+        let entry = self.gate.entry(id, &opening, opening.taken_at, self.clock.now());
+        self.ledger.open(id, opening, orders, None, entry);
+        let Some((server, _)) = self.farm.by_name(server) else {
+            self.order_move(id);
+            return drop(self.ledger.close(id));
+        };
+        if let Some(arrival) = self.ledger.adopt(id, server) {
+            self.decide(api::Event::Standing { arrival, server });
+            self.drain_stands(id);
+        }
+    }
+
     /// Sends a connection that stood before the start to its application server.
     pub(super) fn reopen(&mut self, id: u64) {
         let Some(transaction) = self.ledger.get(id) else { return };
--- a/balancer/src/core/drain.rs
+++ b/balancer/src/core/drain.rs
@@ -64,6 +64,7 @@
         let standing = self.ledger.movable();
         let count = u32::try_from(standing.len().max(1)).unwrap_or(u32::MAX);
         for (at, id) in (0..).zip(standing) {
+            self.offer(id);
             self.wake(MOVES * at / count, Due::Drained(self.drains, id));
         }
         self.wake(TICK, Due::Drain(self.drains));
@@ -72,10 +73,18 @@
     /// A connection that came to stand in the midst of a drain is moved with the last of the others.
     pub(super) fn drain_stands(&mut self, id: u64) {
         if let Some(drain) = self.drain {
+            self.offer(id);
             self.wake(MOVES.saturating_sub(self.drained_for(drain)), Due::Drained(drain.number, id));
         }
     }
 
+    /// One that leaves gives its connections away where it can; what it can't give it moves when their turn comes.
+    fn offer(&mut self, id: u64) {
+        if self.lifecycle.state() == State::Leaving {
+            self.ledger.order(id, Order::Give);
+        }
+    }
+
     /// Whether a newcomer is still served.
     pub(super) fn takes_newcomers(&self) -> bool {
         self.drain.is_none_or(|drain| self.drained_for(drain) < NEWCOMERS)
--- a/balancer/src/core/ledger.rs
+++ b/balancer/src/core/ledger.rs
@@ -66,6 +66,8 @@
 pub struct Counts {
     /// Transactions opened.
     pub opened: u64,
+    /// Standing connections taken over from another process.
+    pub adopted: u64,
     /// Connections that came to stand.
     pub served: u64,
     /// Unavailable answers given.
@@ -191,6 +193,13 @@
         Some(Stands { attempt: transaction.passes - 1, server, held, class: transaction.opening.class, took })
     }
 
+    /// The connection stands at that server from the outset.
+    pub(super) fn adopt(&mut self, id: u64, server: ServerId) -> Option<Arrival> {
+        self.open.get_mut(&id)?.place = Place::Standing(server);
+        self.counts.adopted += 1;
+        self.restart(id)
+    }
+
     /// Numbers the standing connection as the module does that takes it over.
     pub(super) fn restart(&mut self, id: u64) -> Option<Arrival> {
         let transaction = self.open.get_mut(&id)?;
--- a/balancer/src/core/mod.rs
+++ b/balancer/src/core/mod.rs
@@ -90,6 +90,8 @@
 pub enum Event {
     /// A client asks for a connection; the carrier takes the orders.
     Opened(u64, Opening, Arc<dyn Carrier>),
+    /// A connection that stands at that application server was taken over from another process.
+    Adopted(u64, Opening, String, Arc<dyn Carrier>),
     /// The proxy pass stands.
     Established(u64),
     /// The proxy pass, or the connection that it became, has ended.
@@ -154,6 +156,8 @@
     Failed,
     /// Move the client.
     Move,
+    /// Give the standing connection to the process that takes this one's place, if there is one.
+    Give,
 }
 
 /// A look at the core, for people.
@@ -205,6 +209,13 @@
         id
     }
 
+    /// Takes over a connection that stands.
+    pub fn adopt(&self, opening: Opening, server: String, orders: Arc<dyn Carrier>) -> u64 {
+        let id = self.next.fetch_add(1, Ordering::Relaxed);
+        self.tell(Event::Adopted(id, opening, server, orders));
+        id
+    }
+
     /// Tells the core. Once the core is gone, nothing is left to be told.
     pub fn tell(&self, event: Event) {
         let _ = self.events.send(event);
@@ -441,6 +452,7 @@
     fn take(&mut self, event: Event) {
         match event {
             Event::Opened(id, opening, orders) => self.admit(id, opening, orders),
+            Event::Adopted(id, opening, server, orders) => self.adopt(id, opening, &server, orders),
             Event::Established(id) => self.established(id),
             Event::Ended(id, outcome, took) => self.ended(id, outcome, took),
             Event::Noted(id, note) => self.noted(id, note),
@@ -594,6 +606,7 @@
             waiting = look.waiting,
             standing = look.standing,
             opened = counts.opened,
+            adopted = counts.adopted,
             served = counts.served,
             unavailable = counts.unavailable,
             failed = counts.failed,
--- a/balancer/src/core/testing.rs
+++ b/balancer/src/core/testing.rs
@@ -58,7 +58,7 @@
         own.fold((0, 0), |(passes, answers), (_, order)| match order {
             Order::Pass { .. } => (passes + 1, answers),
             Order::Unavailable(_) | Order::Failed => (passes, answers + 1),
-            Order::Move => (passes, answers),
+            Order::Move | Order::Give => (passes, answers),
         })
     }
 }
--- a/balancer/src/front/mod.rs
+++ b/balancer/src/front/mod.rs
@@ -51,6 +51,11 @@
         b""
     }
 
+    /// The opening of a standing connection, from which another process can take it over; nothing where none can.
+    fn opening<'a>(&self, _of: &'a Self::Greeting) -> Option<&'a [u8]> {
+        None
+    }
+
     /// Why there is no opening, for a client that sent none in time or too long a line.
     fn no_opening(&self, why: NoOpening) -> Refusal;
 
--- a/balancer/src/front/platform.rs
+++ b/balancer/src/front/platform.rs
@@ -187,6 +187,10 @@
         }
     }
 
+    fn opening<'a>(&self, of: &'a Greeting) -> Option<&'a [u8]> {
+        Some(&of.line)
+    }
+
     fn no_opening(&self, why: NoOpening) -> Refusal {
         Refusal::new(b"ERR\r\n", format!("{why:?}"))
     }
--- /dev/null
+++ b/balancer/src/handover.rs
@@ -0,0 +1,200 @@
+//! Standing connections go from a process that leaves to the one that takes its place: their two sockets, and what the
+//! client said when it opened. Client and application server feel nothing of it.
+//!
+//! The way is a socket in `$TMPDIR`, which both processes see. Each process puts its own in the place of the one before,
+//! by a rename; whoever finds none there, or its own, gives nothing away, and moves its clients instead.
+
+use std::io::{self, IoSlice, IoSliceMut};
+use std::mem::MaybeUninit;
+use std::net::TcpStream;
+use std::os::fd::{AsFd, OwnedFd};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rustix::net::sockopt::socket_peercred;
+use rustix::net::{
+    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
+    SendFlags, recvmsg, sendmsg,
+};
+use socket2::{Domain, SockAddr, Socket, Type};
+use tracing::{info, warn};
+
+/// Longest message: a server's name, and an opening line.
+const LONGEST: usize = 8 * 1024;
+/// A process that takes nothing for so long is given nothing more just now.
+const PATIENCE: Duration = Duration::from_millis(100);
+/// Messages are whole or not there.
+const KIND: Type = Type::SEQPACKET;
+
+/// A standing connection on its way.
+pub struct Given {
+    /// The client's socket.
+    pub client: TcpStream,
+    /// The application server's.
+    pub server: TcpStream,
+    /// The application server's name.
+    pub at: String,
+    /// The client's opening line.
+    pub line: Vec<u8>,
+}
+
+/// Where the processes of one balancer meet.
+#[derive(Clone, Debug)]
+pub struct Place(PathBuf);
+
+impl Place {
+    /// The place of the balancer of that name in a folder that all its processes see.
+    pub fn of(folder: &Path, name: &str) -> Place {
+        Place(folder.join(format!("handover-{:016x}", beaconflow_settings::digest(name))))
+    }
+
+    /// Takes what is given here from now on, each giver's on a thread of its own.
+    pub fn take(&self, take: impl Fn(Given) + Send + Sync + 'static) -> io::Result<()> {
+        let own = self.0.with_extension(std::process::id().to_string());
+        // One may be left of a process that had this number before.
+        let _ = std::fs::remove_file(&own);
+        let listener = Socket::new(Domain::UNIX, KIND, None)?;
+        listener.bind(&SockAddr::unix(&own)?)?;
+        listener.listen(4)?;
+        std::fs::rename(&own, &self.0)?;
+        let take = Arc::new(take);
+        let accept = move || {
+            while let Ok((giver, _)) = listener.accept() {
+                let take = Arc::clone(&take);
+                let run = move || {
+                    let taken = take_all(&giver, &*take);
+                    info!(part = "handover", taken, "taken over");
+                };
+                if let Err(error) = std::thread::Builder::new().name("handover".into()).spawn(run) {
+                    warn!(part = "handover", why = %error, "no thread");
+                }
+            }
+        };
+        std::thread::Builder::new().name("handover".into()).spawn(accept).map(drop)
+    }
+
+    /// The process that takes this one's place, if there is one.
+    pub fn find(&self) -> io::Result<Option<Giver>> {
+        let socket = Socket::new(Domain::UNIX, KIND, None)?;
+        match socket.connect(&SockAddr::unix(&self.0)?) {
+            Ok(()) => {}
+            // What is left of a process that is gone, or of none.
+            Err(error)
+                if matches!(error.kind(), io::ErrorKind::ConnectionRefused | io::ErrorKind::NotFound) =>
+            {
+                return Ok(None);
+            }
+            Err(error) => return Err(error),
+        }
+        socket.set_write_timeout(Some(PATIENCE))?;
+        let other = socket_peercred(&socket)?.pid.as_raw_nonzero().get();
+        let is_own = u32::try_from(other).is_ok_and(|other| other == std::process::id());
+        Ok((!is_own).then_some(Giver(socket)))
+    }
+}
+
+/// The way to the process that takes this one's place.
+pub struct Giver(Socket);
+
+impl Giver {
+    /// Gives a connection away. Its sockets are the other's from then on: here they may only be closed.
+    pub fn give(&self, (client, server): (&TcpStream, &TcpStream), at: &str, line: &[u8]) -> io::Result<()> {
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
+        let mut with = SendAncillaryBuffer::new(&mut space);
+        let sockets = [client.as_fd(), server.as_fd()];
+        if !with.push(SendAncillaryMessage::ScmRights(&sockets)) {
+            return Err(io::ErrorKind::OutOfMemory.into());
+        }
+        let parts = [IoSlice::new(at.as_bytes()), IoSlice::new(b"\n"), IoSlice::new(line)];
+        sendmsg(&self.0, &parts, &mut with, SendFlags::NOSIGNAL)?;
+        Ok(())
+    }
+}
+
+/// Takes what one process gives until it ends; gives how many connections that were.
+fn take_all(giver: &Socket, take: &impl Fn(Given)) -> usize {
+    let mut taken = 0;
+    loop {
+        match receive(giver) {
+            Ok(Some(given)) => {
+                taken += 1;
+                take(given);
+            }
+            Ok(None) => return taken,
+            Err(error) => {
+                warn!(part = "handover", why = %error, "not understood");
+                if error.kind() != io::ErrorKind::InvalidData {
+                    return taken;
+                }
+            }
+        }
+    }
+}
+
+/// The next connection; nothing at the end.
+fn receive(giver: &Socket) -> io::Result<Option<Given>> {
+    let mut bytes = vec![0; LONGEST];
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
+    let mut with = RecvAncillaryBuffer::new(&mut space);
+    let got = recvmsg(giver, &mut [IoSliceMut::new(&mut bytes)], &mut with, RecvFlags::CMSG_CLOEXEC)?;
+    let mut sockets: Vec<OwnedFd> = Vec::new();
+    for message in with.drain() {
+        if let RecvAncillaryMessage::ScmRights(given) = message {
+            sockets.extend(given);
+        }
+    }
+    if got.bytes == 0 {
+        return Ok(None);
+    }
+    bytes.truncate(got.bytes);
+    let fault = || io::Error::from(io::ErrorKind::InvalidData);
+    let end = bytes.iter().position(|byte| *byte == b'\n').ok_or_else(fault)?;
+    let at = String::from_utf8(bytes[..end].to_vec()).map_err(|_| fault())?;
+    let [client, server] = <[OwnedFd; 2]>::try_from(sockets).map_err(|_| fault())?;
+    let (client, server) = (TcpStream::from(client), TcpStream::from(server));
+    Ok(Some(Given { client, server, at, line: bytes[end + 1..].to_vec() }))
+}
+
+#[cfg(test)]
+mod tests {
+    use std::io::{Read, Write};
+    use std::net::TcpListener;
+
+    use super::*;
+
+    fn pair() -> (TcpStream, TcpStream) {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("loopback");
+        let one = TcpStream::connect(listener.local_addr().expect("bound")).expect("loopback");
+        (one, listener.accept().expect("it came").0)
+    }
+
+    #[test]
+    fn a_connection_is_given_with_both_sockets_and_its_opening() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let place = Place::of(folder.path(), "n0");
+        assert!(place.find().expect("an empty folder").is_none());
+        std::fs::write(&place.0, "of another time").expect("room");
+        assert!(place.find().is_ok_and(|found| found.is_none()), "what is no socket is survived");
+        let (send, taken) = crossbeam_channel::unbounded();
+        place.take(move |given| send.send(given).expect("the test waits")).expect("a socket");
+        assert!(place.find().expect("its own").is_none(), "nobody gives to itself");
+
+        let socket = Socket::new(Domain::UNIX, KIND, None).expect("a socket");
+        socket.connect(&SockAddr::unix(&place.0).expect("short")).expect("it takes");
+        let giver = Giver(socket);
+        let ((mut client, near), (far, mut server)) = (pair(), pair());
+        rustix::net::send(&giver.0, b"no line and no sockets", SendFlags::NOSIGNAL).expect("open");
+        giver.give((&near, &far), "s0", b"OPEN 01 02 c=chat").expect("it is taken");
+        drop((near, far));
+        let given = taken.recv_timeout(Duration::from_secs(10)).expect("it comes");
+        assert_eq!((given.at.as_str(), given.line.as_slice()), ("s0", b"OPEN 01 02 c=chat".as_slice()));
+        client.write_all(b"to the server").expect("open");
+        server.write_all(b"to the client").expect("open");
+        for (mut socket, words) in [(given.client, b"to the server"), (given.server, b"to the client")] {
+            let mut heard = [0; 13];
+            socket.read_exact(&mut heard).expect("open");
+            assert_eq!(&heard, words);
+        }
+    }
+}
--- a/balancer/src/lib.rs
+++ b/balancer/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod core;
 pub mod farm;
 pub mod front;
+pub mod handover;
 pub mod http;
 pub mod inherited;
 pub mod log;
--- a/balancer/src/pass.rs
+++ b/balancer/src/pass.rs
@@ -70,6 +70,8 @@
     ClientFault(&'static str),
     /// The client was told to move.
     Moved,
+    /// It was given to the process that takes this one's place.
+    Given,
     /// It was to be moved, but a message that had begun never ended.
     Cut,
 }
@@ -116,6 +118,7 @@
             | End::ClientBroke
             | End::ClientFault(_)
             | End::Moved
+            | End::Given
             | End::Cut => Outcome::Cancelled,
         }
     }
--- a/balancer/src/serve.rs
+++ b/balancer/src/serve.rs
@@ -1,7 +1,7 @@
 //! The program as a whole: which fronts run, with what cores, and until when.
 
 use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::thread::{Builder, JoinHandle};
 use std::time::{Duration, Instant};
@@ -10,7 +10,7 @@
 use beaconflow_settings::Setup;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGXFSZ};
 use signal_hook::iterator::Signals;
-use tracing::info;
+use tracing::{info, warn};
 
 use crate::admin::Admin;
 use crate::clock::Clock;
@@ -21,6 +21,7 @@
 use crate::front::nats::Nats as Front;
 use crate::front::nats::tenants::Tenants;
 use crate::front::platform::Platform;
+use crate::handover::Place;
 use crate::inherited;
 use crate::net::{self, Listener};
 use crate::operations;
@@ -149,7 +150,10 @@
         None => listen(config.listen)?,
     };
     let shared = listener.shared;
-    start_front(front, listener, Arc::clone(&sockets), &core)?;
+    // Only processes that share the clients' listener take one another's place.
+    let folder = std::env::var_os("TMPDIR").filter(|_| shared);
+    let place = folder.map(|folder| Place::of(Path::new(&folder), &config.name));
+    start_front(front, (listener, place), Arc::clone(&sockets), &core)?;
     info!(part = "main", front = "platform", name = config.name, on = %config.listen, shared, "serves");
     let reload = Reload::Platform { file: Box::new(file), target, sockets, core: core.clone() };
     Ok((Serving { front: "platform", core, thread }, reload))
@@ -185,7 +189,7 @@
     let (core, thread) = start_core(start, watcher)?;
     let front = Arc::new(Front::new(nats.name.clone(), Arc::clone(&setup), Arc::clone(&tenants), nats.wire));
     let sockets = Sockets::new(nats.sockets.into());
-    start_front(front, listen(nats.listen)?, Arc::clone(&sockets), &core)?;
+    start_front(front, (listen(nats.listen)?, None), Arc::clone(&sockets), &core)?;
     info!(part = "main", front = "nats", name = nats.name, on = %nats.listen, "serves");
     Ok((Serving { front: "nats", core, thread }, NatsParts { tenants, setup, target, sockets }))
 }
@@ -217,12 +221,25 @@
 
 fn start_front<F: crate::front::Front>(
     front: Arc<F>,
-    listener: Listener,
+    (listener, place): (Listener, Option<Place>),
     sockets: Sockets,
     core: &Handle,
 ) -> Result<(), String> {
     let core = core.clone();
-    let desk = stages::transaction::serve(&front, &core).map_err(|error| format!("transactions: {error}"))?;
+    let desk = stages::transaction::serve(&front, &core, place.clone());
+    let desk = desk.map_err(|error| format!("transactions: {error}"))?;
+    if let Some(place) = place {
+        let (core, desk) = (core.clone(), desk.clone());
+        // Whoever gives one has closed it by then: it is taken over however many there are.
+        let taken = place.take(move |given| {
+            if let Some(counted) = core.count_in(usize::MAX) {
+                desk.take_over(given, counted);
+            }
+        });
+        if let Err(error) = taken {
+            warn!(part = "handover", why = %error, "nothing is taken over; a process that leaves moves its clients");
+        }
+    }
     spawn("take-in", move || {
         // Guards against a program that says yes and hears nobody.
         let _listens = Listens::begin(&core);
--- a/balancer/src/stages/relay.rs
+++ b/balancer/src/stages/relay.rs
@@ -253,6 +253,14 @@
         self.moved(words)
     }
 
+    /// Whether nothing of the connection is here: what has been read has gone on, and both sides are between messages.
+    pub fn is_clear(&self) -> bool {
+        let unsent = !(self.link.out.is_empty() && self.to_server.is_empty());
+        let kept = !(self.link.kept.is_empty() && self.kept.is_empty());
+        let between = self.link.framer.is_between() && self.framer.is_between();
+        between && !unsent && !kept && !self.link.over && self.notes.moving.is_none()
+    }
+
     /// The client is to be moved, now or, inside a message, at its end.
     pub fn move_on(&mut self, words: &[u8]) -> Result<(), End> {
         self.notes.move_on(End::Moved);
--- a/balancer/src/stages/transaction.rs
+++ b/balancer/src/stages/transaction.rs
@@ -16,8 +16,9 @@
 use tracing::{error, warn};
 
 use crate::core::{ApplicationServer, Carrier, Counted, Event, Handle, Opening, Order};
-use crate::front::{Front, Word};
-use crate::net::ReadError;
+use crate::front::{First, Front, Word};
+use crate::handover::{Given, Giver, Place};
+use crate::net::{self, ReadError};
 use crate::pass::{Client, End, PassError};
 use crate::poller::{Bell, EventFlags, Poller};
 use crate::stages::relay::{Link, Side, Standing};
@@ -44,6 +45,8 @@
 enum Brought<F: Front> {
     Admitted(Box<Admitted<F>>),
     Ordered(u64, Order),
+    /// Another process gives this connection.
+    Given(Given, Counted),
     /// A pass has ended; nothing if it panicked.
     Passed(u64, Link, Option<Result<Passed, PassError>>),
 }
@@ -73,6 +76,11 @@
         self.bell.ring();
     }
 
+    /// Brings a connection that another process gives.
+    pub fn take_over(&self, given: Given, counted: Counted) {
+        self.bring(Brought::Given(given, counted));
+    }
+
     /// Brings an admitted client.
     pub fn admit(&self, admitted: Admitted<F>) {
         self.bring(Brought::Admitted(Box::new(admitted)));
@@ -106,6 +114,8 @@
     /// the greeting holds, its id or its place among its tenant's connections, still taken by itself.
     greeting: Option<Arc<F::Greeting>>,
     phase: Phase,
+    /// The application server of its latest pass.
+    at: Option<Arc<str>>,
     /// When its latest pass began.
     begun: Instant,
     /// What the poller watches its sides for.
@@ -119,15 +129,19 @@
     core: Handle,
     /// The words of a move.
     moving: Vec<u8>,
+    /// Where this process and the one that takes its place meet.
+    place: Option<Place>,
 }
 
 /// Serves a front's transactions on a thread of its own.
-pub fn serve<F: Front>(front: &Arc<F>, core: &Handle) -> io::Result<Desk<F>> {
+pub fn serve<F: Front>(front: &Arc<F>, core: &Handle, place: Option<Place>) -> io::Result<Desk<F>> {
     let poller = Poller::new()?;
     let (brought, inbox) = unbounded();
     let desk = Desk { brought, bell: poller.bell() };
-    let shared = Shared { front: Arc::clone(front), core: core.clone(), moving: front.say(Word::Move) };
-    let server = Server { shared, poller, inbox, desk: Arc::new(desk.clone()), open: HashMap::new() };
+    let shared =
+        Shared { front: Arc::clone(front), core: core.clone(), moving: front.say(Word::Move), place };
+    let server =
+        Server { shared, poller, inbox, desk: Arc::new(desk.clone()), open: HashMap::new(), giver: None };
     std::thread::Builder::new().name("transactions".into()).spawn(move || server.run())?;
     Ok(desk)
 }
@@ -138,6 +152,8 @@
     inbox: Receiver<Brought<F>>,
     desk: Arc<Desk<F>>,
     open: HashMap<u64, Transaction<F>>,
+    /// The way to the process that takes this one's place, once it has been looked for.
+    giver: Option<Option<Giver>>,
 }
 
 impl<F: Front> Server<F> {
@@ -171,6 +187,7 @@
                     id,
                     greeting: Some(Arc::new(greeting)),
                     phase: Phase::Waiting(link),
+                    at: None,
                     begun: Instant::now(),
                     watched: (EventFlags::empty(), EventFlags::empty()),
                     _counted: counted,
@@ -179,7 +196,7 @@
                 self.with(id, |_, _| ());
             }
             Brought::Ordered(id, Order::Pass { to, within }) => {
-                let lent = self.open.get_mut(&id).and_then(|transaction| transaction.lend(&self.poller));
+                let lent = self.open.get_mut(&id).and_then(|transaction| transaction.lend(&self.poller, &to));
                 let Some((link, greeting)) = lent else { return };
                 if let Err(failed) = pass(&self.shared, &self.desk, (id, link, greeting), to, within) {
                     let (link, error) = *failed;
@@ -187,6 +204,8 @@
                     self.with(id, |transaction, shared| transaction.passed(link, Some(Err(error)), shared));
                 }
             }
+            Brought::Ordered(id, Order::Give) => self.give(id),
+            Brought::Given(given, counted) => self.take_over(given, counted),
             Brought::Ordered(id, order) => {
                 self.with(id, |transaction, shared| transaction.order(order, shared));
             }
@@ -196,6 +215,78 @@
         }
     }
 
+    /// Gives a standing connection to the process that takes this one's place, if there is one and nothing of the
+    /// connection is here; else it is moved when its turn comes.
+    fn give(&mut self, id: u64) {
+        let Server { shared, poller, giver, open, .. } = self;
+        let Some(transaction) = open.get_mut(&id) else { return };
+        let (Phase::Standing(standing), Some(greeting), Some(at)) =
+            (&transaction.phase, transaction.greeting.as_deref(), transaction.at.as_deref())
+        else {
+            return;
+        };
+        let Some(line) = shared.front.opening(greeting).filter(|_| standing.is_clear()) else { return };
+        let found = giver.get_or_insert_with(|| {
+            let found = shared.place.as_ref().map_or(Ok(None), Place::find);
+            found.unwrap_or_else(|error| {
+                warn!(part = shared.front.name(), why = %error, "nobody to hand over to");
+                None
+            })
+        });
+        let Some(giver) = found else { return };
+        let (client, server) = standing.sides();
+        // The other process has the same sockets: left in this poller they would be told ready here for what is there.
+        let nothing = EventFlags::empty();
+        let unwatched = poller
+            .watch(client, id * 2, (transaction.watched.0, nothing))
+            .and_then(|()| poller.watch(server, id * 2 + 1, (transaction.watched.1, nothing)));
+        if unwatched.is_err() {
+            return;
+        }
+        transaction.watched = (nothing, nothing);
+        match giver.give((client, server), at, line) {
+            Ok(()) => {
+                transaction.book(&PassError::Standing(End::Given), shared);
+                self.open.remove(&id);
+            }
+            Err(error) => {
+                warn!(part = shared.front.name(), transaction = id, why = %error, "not handed over");
+                self.with(id, |_, _| ());
+            }
+        }
+    }
+
+    /// Takes over a connection that another process gives. One that can't be read is moved.
+    fn take_over(&mut self, given: Given, counted: Counted) {
+        let Given { client, server, at, line } = given;
+        let Shared { front, core, moving, .. } = &self.shared;
+        let read = match front.first(&line, core.clock().now()) {
+            First::Opening(request) => front.admit(request).ok(),
+            _ => None,
+        };
+        let mut link = Link::new(&**front, client, Vec::new());
+        let Some((opening, greeting)) = read else {
+            warn!(part = front.name(), "a connection handed over could not be read");
+            net::finish(&server);
+            return link.answer(moving);
+        };
+        let at_now: Arc<str> = at.as_str().into();
+        let opening = Opening { held_by: None, ..opening };
+        let id = core.adopt(opening, at, Arc::clone(&self.desk) as Arc<dyn Carrier>);
+        let standing = Standing::new(&**front, link, server, core, id);
+        let transaction = Transaction {
+            id,
+            greeting: Some(Arc::new(greeting)),
+            phase: Phase::Standing(Box::new(standing)),
+            at: Some(at_now),
+            begun: Instant::now(),
+            watched: (EventFlags::empty(), EventFlags::empty()),
+            _counted: counted,
+        };
+        self.open.insert(id, transaction);
+        self.with(id, |_, _| ());
+    }
+
     /// Does something with a transaction, and watches what is wanted of it then.
     fn with(&mut self, id: u64, act: impl FnOnce(&mut Transaction<F>, &Shared<F>)) {
         let Some(transaction) = self.open.get_mut(&id) else { return };
@@ -240,7 +331,7 @@
 
 impl<F: Front> Transaction<F> {
     /// Gives the client to a pass, which looks after it from now on.
-    fn lend(&mut self, poller: &Poller) -> Option<(Link, Arc<F::Greeting>)> {
+    fn lend(&mut self, poller: &Poller, to: &ApplicationServer) -> Option<(Link, Arc<F::Greeting>)> {
         let Phase::Waiting(link) = &self.phase else { return None };
         let greeting = Arc::clone(self.greeting.as_ref()?);
         let nothing = EventFlags::empty();
@@ -248,6 +339,7 @@
         poller.watch(link.stream(), self.id * 2, (self.watched.0, nothing)).ok()?;
         self.watched = (nothing, nothing);
         self.begun = Instant::now();
+        self.at = Some(to.name.as_str().into());
         let Phase::Waiting(link) = std::mem::replace(&mut self.phase, Phase::Passing(None)) else {
             return None;
         };
@@ -298,7 +390,7 @@
                 self.go_on(went, shared);
             }
             // A move was ordered when the connection had just ended, or before it stands.
-            (_, Order::Move | Order::Pass { .. }) => {}
+            (_, Order::Move | Order::Pass { .. } | Order::Give) => {}
             (Phase::Passing(answer), order) => *answer = Some(order),
             (Phase::Waiting(_), Order::Unavailable(after)) => self.answer(Word::Unavailable(after), shared),
             (Phase::Waiting(_), Order::Failed) => self.answer(Word::Failed, shared),
--- a/cli/tests/handover.rs
+++ b/cli/tests/handover.rs
@@ -5,6 +5,7 @@
 use std::collections::HashSet;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
@@ -14,6 +15,8 @@
 struct Shared {
     held: TcpListener,
     path: String,
+    /// What all processes see besides.
+    folder: PathBuf,
     _discovery: Discovery,
 }
 
@@ -28,7 +31,7 @@
         });
         let at = held.local_addr().expect("bound");
         let path = file(name, &config(at, discovery.address, &known, SETTINGS, 512));
-        Shared { held, path, _discovery: discovery }
+        Shared { held, path, folder: "/nowhere".into(), _discovery: discovery }
     }
 
     fn at(&self) -> SocketAddr {
@@ -38,7 +41,8 @@
     /// One more process, and its operations port. It is ready.
     fn start(&self) -> (Program, Api) {
         let at = free();
-        let env = [("LB_CONFIG", self.path.as_str()), ("LB_ADMIN_ADDR", &at.to_string())];
+        let folder = self.folder.to_str().expect("text");
+        let env = [("LB_CONFIG", self.path.as_str()), ("LB_ADMIN_ADDR", &at.to_string()), ("TMPDIR", folder)];
         let program = Program::start_inheriting(&self.held, &env);
         program.says("to=serving");
         (program, Api { at, token: "none is wanted" })
@@ -63,7 +67,13 @@
     if peer.stream.write_all(b"UP r\r\n").is_err() {
         return;
     }
-    while peer.hear_or_end().is_some() && peer.stream.write_all(b"ok\r\n").is_ok() {}
+    while let Some(line) = peer.hear_or_end() {
+        // One asks for half a line, and never gets the other half.
+        let answer: &[u8] = if line.starts_with("half") { b"ha" } else { b"ok\r\n" };
+        if peer.stream.write_all(answer).is_err() {
+            return;
+        }
+    }
 }
 
 #[test]
@@ -114,6 +124,41 @@
     shared.open("after").hears("UP r");
 }
 
+#[test]
+fn what_stands_is_handed_over_and_goes_on_and_only_half_a_line_is_moved() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let shared = Shared { folder: folder.path().to_owned(), ..Shared::new("given") };
+    let (mut old, _) = shared.start();
+    let mut clients: Vec<Peer> = (0..6).map(|number| shared.open(&format!("s{number}"))).collect();
+    clients.iter_mut().for_each(|client| client.hears("UP r"));
+    let mut half = shared.open("half");
+    half.hears("UP r");
+    half.say("half\r\n");
+    assert_eq!(half.bytes(2), "ha");
+    let (mut second, _) = shared.start();
+    old.signal("TERM");
+    second.says("taken over taken=6");
+    assert_ne!(half.hear().as_deref(), Some("ok"), "cut off inside its line after a while");
+    assert!(old.left(), "it leaves by itself");
+    for client in &mut clients {
+        client.say("line\r\n");
+        client.hears("ok");
+    }
+    // An id is still taken, and one more process takes over what the second one took.
+    shared.open("s3").hears("ERR");
+    let (third, _) = shared.start();
+    second.signal("TERM");
+    third.says("taken over taken=6");
+    assert!(second.left(), "it leaves by itself");
+    for client in &mut clients {
+        client.say("line\r\n");
+        client.hears("ok");
+    }
+    // With nobody to give them to, they are moved.
+    third.signal("TERM");
+    clients.iter_mut().for_each(|client| client.hears("MOVE"));
+}
+
 #[test]
 fn either_process_goes_on_alone_when_the_other_is_killed() {
     let shared = Shared::new("killed");
