Two processes on one listener stay within one's descriptors; stories of peers in pieces

Need: while one process takes the other's place, their descriptors count together; each had all the openings (a fifth) to itself. On an inherited listener each has half of them, and room is left for the other's own. A process alone has what it had.

Tests: budgets of both within the limit at five sizes; an opening and a line cut at every byte; clients that walk away at every byte leave no descriptor; a silent caller of the operations port is told 408.

--- a/balancer/src/stages/take_in.rs
+++ b/balancer/src/stages/take_in.rs
@@ -33,10 +33,12 @@
 const LAST_WORD: Duration = Duration::from_millis(200);
 
 /// How many openings may wait, and how many connections may be open, each with its client's descriptor and its
-/// server's.
-pub fn budget(sockets: usize) -> (usize, usize) {
-    let openings = (sockets / OPENINGS_PART).max(8);
-    (openings, sockets.saturating_sub(SPARE + openings).max(2) / 2)
+/// server's. Guards against two processes on one listener that, while one takes the other's place, hold more than the
+/// descriptors of both: each has half of the openings, and room is left for the other's own.
+pub fn budget(sockets: usize, shared: bool) -> (usize, usize) {
+    let processes = if shared { 2 } else { 1 };
+    let openings = (sockets / OPENINGS_PART / processes).max(8);
+    (openings, sockets.saturating_sub(processes * (SPARE + openings)).max(2) / 2)
 }
 
 /// A client that has not opened its connection.
@@ -59,7 +61,8 @@
     transactions: &Desk<F>,
 ) {
     let refusals = Arc::new(Bounded::default());
-    let mut door = Door { front, core, sockets, transactions, refusals, waiting: VecDeque::new() };
+    let (shared, waiting) = (listener.shared, VecDeque::new());
+    let mut door = Door { front, core, sockets, shared, transactions, refusals, waiting };
     loop {
         let accepts = door.accepts(listener);
         let has_room = accepts && door.has_room();
@@ -81,6 +84,8 @@
     front: &'a Arc<F>,
     core: &'a Handle,
     sockets: &'a Sockets,
+    /// Another process may accept from the same listener.
+    shared: bool,
     transactions: &'a Desk<F>,
     refusals: Arc<Bounded>,
     /// The oldest first.
@@ -118,6 +123,10 @@
         left.unwrap_or(Duration::from_secs(1)).max(Duration::from_millis(1)).min(Duration::from_secs(1))
     }
 
+    fn budget(&self) -> (usize, usize) {
+        budget(self.sockets.load(Ordering::Relaxed), self.shared)
+    }
+
     /// Whether newcomers are this process's to accept: one that leaves a shared listener leaves them to the others.
     fn accepts(&self, listener: &Listener) -> bool {
         !listener.shared || self.core.shown().state() != State::Leaving
@@ -132,7 +141,7 @@
 
     /// Whether one more client can be accepted, if need be for another's place.
     fn has_room(&self) -> bool {
-        let (openings, _) = budget(self.sockets.load(Ordering::Relaxed));
+        let (openings, _) = self.budget();
         self.waiting.len() < openings || self.dispensable().is_some()
     }
 
@@ -175,7 +184,7 @@
 
     /// Guards against hundreds that connect and say nothing: the one that has been silent longest makes room.
     fn make_room(&mut self) {
-        let (openings, _) = budget(self.sockets.load(Ordering::Relaxed));
+        let (openings, _) = self.budget();
         let place = self.dispensable().filter(|_| self.waiting.len() >= openings);
         let Some(waiting) = place.and_then(|place| self.waiting.remove(place)) else { return };
         if !waiting.refused {
@@ -215,7 +224,7 @@
 
     /// Has a client admitted.
     fn open(&mut self, client: TcpStream, request: F::Request, intake: Intake) {
-        let (_, most) = budget(self.sockets.load(Ordering::Relaxed));
+        let (_, most) = self.budget();
         let unavailable = self.front.say(Word::Unavailable(None));
         let Some(counted) = self.core.count_in(most) else {
             self.refusals.warn(self.front.name(), "too many connections", &"one was turned away");
@@ -297,3 +306,19 @@
     }
     if intake.is_full() { Heard::Refused(front.no_opening(NoOpening::TooLong)) } else { Heard::Waits }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn two_processes_on_one_listener_stay_within_the_descriptors_of_both() {
+        for sockets in [192, 256, 384, 1024, 4096] {
+            let (openings, connections) = budget(sockets, true);
+            // One is full, the other has all its openings and what stands there besides clients.
+            assert!(2 * (SPARE + openings) + 2 * connections <= sockets, "{sockets}");
+            let (alone, more) = budget(sockets, false);
+            assert!(SPARE + alone + 2 * more <= sockets && alone >= openings && more >= connections);
+        }
+    }
+}
--- a/cli/tests/handover.rs
+++ b/cli/tests/handover.rs
@@ -3,7 +3,6 @@
 mod support;
 
 use std::collections::HashSet;
-use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -24,11 +23,7 @@
     fn new(name: &str) -> Shared {
         let (held, discovery, server) = (listener(), Discovery::start(), listener());
         let known = list(1, true, &[("s0", server.local_addr().expect("bound"), "SERVING")]);
-        std::thread::spawn(move || {
-            while let Ok((stream, _)) = server.accept() {
-                std::thread::spawn(move || serve(Peer::new(stream)));
-            }
-        });
+        obliges(server);
         let at = held.local_addr().expect("bound");
         let path = file(name, &config(at, discovery.address, &known, SETTINGS, 512));
         Shared { held, path, folder: "/nowhere".into(), _discovery: discovery }
@@ -60,22 +55,6 @@
     client
 }
 
-/// A server that takes every opening and answers every line.
-fn serve(mut peer: Peer) {
-    let Some(opening) = peer.hear() else { return };
-    assert!(opening.starts_with("OPEN "), "{opening}");
-    if peer.stream.write_all(b"UP r\r\n").is_err() {
-        return;
-    }
-    while let Some(line) = peer.hear_or_end() {
-        // One asks for half a line, and never gets the other half.
-        let answer: &[u8] = if line.starts_with("half") { b"ha" } else { b"ok\r\n" };
-        if peer.stream.write_all(answer).is_err() {
-            return;
-        }
-    }
-}
-
 #[test]
 fn no_opening_is_dropped_while_one_process_takes_over_from_another() {
     let shared = Shared::new("handover");
--- a/cli/tests/operations.rs
+++ b/cli/tests/operations.rs
@@ -151,7 +151,9 @@
         assert_eq!(api.call("GET", "/status", "").status, 200);
         assert!(asked.elapsed() < Duration::from_secs(1));
     }
-    drop(silent);
+    // The first to come gave way; one that is still there is told when its time is up.
+    let mut last = Peer::new(silent.into_iter().next_back().expect("64 of them"));
+    last.hears("HTTP/1.1 408 Request Timeout");
     assert_eq!(api.call("POST", "/standby", "").status, 200);
 }
 
--- /dev/null
+++ b/cli/tests/pieces.rs
@@ -0,0 +1,66 @@
+//! Stories of peers that speak in pieces, fall silent, or walk away half way.
+
+mod support;
+
+use support::site::Site;
+use support::*;
+
+/// A balancer whose only server takes every opening.
+fn site(name: &str) -> Site {
+    let mut site = Site::start(name, 1);
+    obliges(site.servers.remove(0));
+    site
+}
+
+#[test]
+fn an_opening_and_a_line_cut_at_every_byte_are_served_as_if_whole() {
+    let site = site("pieces");
+    let whole = "OPEN p00 02 c=chat,t=acme,d=2500,g=3\r\n";
+    for cut in 1..whole.len() {
+        let opening = whole.replace("p00", &format!("p{cut:02}"));
+        let mut client = Peer::connect(site.at);
+        client.stream.set_nodelay(true).expect("open");
+        client.say("PING\r\n");
+        client.hears("PONG");
+        let (head, rest) = opening.split_at(cut);
+        client.say(head);
+        // An answer to another's question: the first piece has been there for as long as this takes.
+        let mut other = Peer::connect(site.at);
+        other.say("PING\r\n");
+        other.hears("PONG");
+        client.say(rest);
+        client.hears("UP r");
+    }
+    let mut client = site.open("chat", "");
+    client.stream.set_nodelay(true).expect("open");
+    client.hears("UP r");
+    for byte in "a line of several words\r\n".bytes() {
+        client.say(&char::from(byte).to_string());
+    }
+    client.hears("ok");
+}
+
+#[test]
+fn clients_that_walk_away_half_way_leave_nothing_behind() {
+    let site = site("away");
+    let descriptors =
+        || std::fs::read_dir(format!("/proc/{}/fd", site.program.pid())).expect("it runs").count();
+    let mut first = site.open("chat", "");
+    first.hears("UP r");
+    let before = descriptors();
+    let whole = "OPEN w00 02 c=chat,t=acme,d=2500,g=3\r\nhalf a li";
+    for cut in 1..whole.len() {
+        let mut client = Peer::connect(site.at);
+        client.say(&whole.replace("w00", &format!("w{cut:02}"))[..cut]);
+        if cut % 2 == 0 {
+            client.finish();
+        }
+    }
+    let until = std::time::Instant::now() + PATIENCE;
+    while descriptors() > before {
+        assert!(std::time::Instant::now() < until, "{} descriptors, {before} before", descriptors());
+        std::thread::sleep(std::time::Duration::from_millis(20));
+    }
+    first.say("still here\r\n");
+    first.hears("ok");
+}
--- a/cli/tests/support/mod.rs
+++ b/cli/tests/support/mod.rs
@@ -235,6 +235,30 @@
     }
 }
 
+/// Has an application server take every opening and answer every line, for as long as the test runs.
+pub fn obliges(server: TcpListener) {
+    std::thread::spawn(move || {
+        while let Ok((stream, _)) = server.accept() {
+            std::thread::spawn(move || serve(Peer::new(stream)));
+        }
+    });
+}
+
+fn serve(mut peer: Peer) {
+    let Some(opening) = peer.hear() else { return };
+    assert!(opening.starts_with("OPEN "), "{opening}");
+    if peer.stream.write_all(b"UP r\r\n").is_err() {
+        return;
+    }
+    while let Some(line) = peer.hear_or_end() {
+        // One asks for half a line, and never gets the other half.
+        let answer: &[u8] = if line.starts_with("half") { b"ha" } else { b"ok\r\n" };
+        if peer.stream.write_all(answer).is_err() {
+            return;
+        }
+    }
+}
+
 /// Discovery: each watch begins with the present list and is then told what the test says. It beats unless told not
 /// to: a story that is slow on a loaded machine would talk to a watch that the program has given up.
 pub struct Discovery {
