--- a/balancer/src/core/drain.rs
+++ b/balancer/src/core/drain.rs
@@ -196,4 +196,24 @@
         core.drain = Some(Drain { number: 1, since: since(&core, LEAVE_MOST) });
         assert!(core.has_left(), "it may be killed any time now");
     }
+
+    #[test]
+    fn whoever_waits_at_the_door_or_is_being_opened_gets_one_final_answer_in_a_drain() {
+        let (mut core, orders) = standing(0);
+        // More than are let in at once: the rest wait at the door.
+        for id in 0..20 {
+            testing::opens(&mut core, &orders, id, "acme", Duration::from_secs(60));
+        }
+        let waiting = (0..20).filter(|id| orders.of(*id) == (0, 0)).count();
+        assert!(waiting > 0 && waiting < 20, "{waiting} wait");
+        core.follow_word(Word::Standby).expect("it serves");
+        core.go_on_draining(1);
+        assert!((0..20).all(|id| orders.of(id).1 == 0), "not before their time");
+        let since = core.clock.now() - crate::clock::nanos(ANSWERS);
+        core.drain = Some(Drain { number: 1, since });
+        core.go_on_draining(1);
+        core.go_on_draining(1);
+        assert!((0..20).all(|id| orders.of(id).1 == 1));
+        assert_eq!((core.ledger.len(), core.gate.waiting()), (0, 0));
+    }
 }
