--- a/tests/herd.rs
+++ b/tests/herd.rs
@@ -125,3 +125,81 @@
     assert!(mean(43) > 2 * mean(3), "{} and {}", mean(43), mean(3));
     assert!((0..64).all(|seed| first_repeat(43, seed) <= 5 * SECOND), "old word would count as told");
 }
+
+/// Discovery that works through calls in turn, one in each span; a call that waited for its patience fails.
+struct Queue {
+    free_at: Nanos,
+    calls: usize,
+}
+
+impl Queue {
+    const EACH: Nanos = 100 * MS;
+    const PATIENCE: Nanos = 2 * SECOND;
+
+    /// When a call is over, and whether it was served.
+    fn call(&mut self, now: Nanos) -> (Nanos, bool) {
+        self.calls += 1;
+        let begins = self.free_at.max(now);
+        if begins > now + Queue::PATIENCE {
+            return (now + Queue::PATIENCE, false);
+        }
+        self.free_at = begins + Queue::EACH;
+        (self.free_at, true)
+    }
+}
+
+#[test]
+fn a_herd_that_starts_at_once_has_its_list_soon_and_with_few_calls_on_a_virtual_clock() {
+    enum Comes {
+        Timer(TimerId),
+        Answer(bool),
+    }
+    for seed in 0..10 {
+        let settings = |rank| Settings { gateways: 43, rank, discovery: Discovery::Asked, ..settings() };
+        let mut herd: Vec<beaconflow::Balancer> = (0..43)
+            .map(|rank| {
+                beaconflow::Balancer::new(settings(rank), 100 * seed + u64::from(rank)).expect("sound")
+            })
+            .collect();
+        let mut queue = Queue { free_at: 0, calls: 0 };
+        // What comes when, for whom; the number keeps equal moments in the order in which they were set.
+        let mut due = std::collections::BTreeMap::new();
+        let mut listed = vec![None; herd.len()];
+        let known = || Event::List { kind: ListKind::Cached, entries: vec![entry(0)] };
+        let mut next: Vec<(Nanos, usize, Event)> =
+            (0..herd.len()).map(|which| (SECOND, which, known())).collect();
+        let mut set = 0_u64;
+        while listed.iter().any(Option::is_none) {
+            for (now, which, event) in next.drain(..) {
+                let mut out = Vec::new();
+                herd[which].handle(now, event, &mut out);
+                for action in out {
+                    set += 1;
+                    match action {
+                        Action::Wake { after, timer } => {
+                            due.insert((now + after, set), (which, Comes::Timer(timer)));
+                        }
+                        Action::Watch => {
+                            let (at, served) = queue.call(now);
+                            due.insert((at, set), (which, Comes::Answer(served)));
+                        }
+                        _ => {}
+                    }
+                }
+            }
+            let ((now, _), (which, comes)) = due.pop_first().expect("housekeeping goes on");
+            assert!(now < 20 * SECOND, "seed {seed}: {listed:?}");
+            let event = match comes {
+                Comes::Timer(timer) => Event::Timer(timer),
+                Comes::Answer(true) => {
+                    listed[which] = Some(now);
+                    Event::List { kind: ListKind::Full, entries: vec![entry(0)] }
+                }
+                Comes::Answer(false) => Event::List { kind: ListKind::Failed, entries: Vec::new() },
+            };
+            next.push((now, which, event));
+        }
+        assert!(queue.calls <= 43 + 8, "seed {seed}: {} calls", queue.calls);
+        assert!(listed.iter().flatten().all(|at| *at < 9 * SECOND), "seed {seed}: {listed:?}");
+    }
+}
