Tests tell what a program's log said where an awaited line never came

Seen: beside twelve busy loops the story of a pass turned away failed once: its program's log ended before it said that it serves. What it said instead was not shown, so the cause is not known. Ruled out: a file or an address shared with another story (each has its own).

Change: the wait for a log line shows all that came in its place.

--- a/cli/tests/support/mod.rs
+++ b/cli/tests/support/mod.rs
@@ -87,14 +87,16 @@
         Program { child, log }
     }
 
-    /// Waits for a log line with these words.
+    /// Waits for a log line with these words; where none comes, tells what came instead.
     pub fn says(&self, words: &str) -> String {
         let until = Instant::now() + PATIENCE;
+        let mut said = Vec::new();
         loop {
             let left = until.saturating_duration_since(Instant::now());
-            let line = self.log.recv_timeout(left).unwrap_or_else(|_| panic!("the log never said {words:?}"));
-            if line.contains(words) {
-                return line;
+            match self.log.recv_timeout(left) {
+                Ok(line) if line.contains(words) => return line,
+                Ok(line) => said.push(line),
+                Err(error) => panic!("the log never said {words:?} ({error}), but: {said:#?}"),
             }
         }
     }
