Read once more: a start that fails takes no client; one way to say a last word

A program that can't have its operations port ended only after it had begun to accept from the shared listener, and dropped what it took meanwhile: the port is bound before any client is accepted, and the story of a third process shows that it never served. A program on standby woke 50 times a second for as long as it stood by; one look is enough.

Written again and now called: the last word and the reading of a peer that has had it (net::Outflow::part and linger, for relay and operations port), the listener (net::Listener::bound), who may be moved (ledger), the entry of a transaction, a started gateway in the herd's tests. A pass no longer copies its server's name; the handover's threads have small stacks.

New stories: a drain undone half way, over loopback; status under 400 openings beside silent callers (160 silent connections before). No assertion was taken out. No decision changed.

--- a/balancer/src/core/drain.rs
+++ b/balancer/src/core/drain.rs
@@ -61,13 +61,18 @@
     fn begin_drain(&mut self) {
         self.drains += 1;
         self.drain = Some(Drain { number: self.drains, since: self.clock.now() });
-        let standing = self.ledger.movable();
+        let standing: Vec<u64> = self.ledger.movable().map(|(id, _)| id).collect();
         let count = u32::try_from(standing.len().max(1)).unwrap_or(u32::MAX);
         for (at, id) in (0..).zip(standing) {
             self.offer(id);
             self.wake(MOVES * at / count, Due::Drained(self.drains, id));
         }
-        self.wake(TICK, Due::Drain(self.drains));
+        self.wake(self.drain_period(), Due::Drain(self.drains));
+    }
+
+    /// One that leaves looks again and again whether it has; on standby one look is enough: nobody comes after it.
+    fn drain_period(&self) -> Duration {
+        if self.lifecycle.state() == State::Leaving { TICK } else { ANSWERS }
     }
 
     /// A connection that came to stand in the midst of a drain is moved with the last of the others.
@@ -99,7 +104,9 @@
 
     pub(super) fn go_on_draining(&mut self, number: u64) {
         let Some(drain) = self.drain.filter(|drain| drain.number == number) else { return };
-        self.wake(TICK, Due::Drain(number));
+        if self.lifecycle.state() == State::Leaving {
+            self.wake(TICK, Due::Drain(number));
+        }
         if self.drained_for(drain) < ANSWERS {
             return;
         }
--- a/balancer/src/core/farm.rs
+++ b/balancer/src/core/farm.rs
@@ -16,7 +16,7 @@
 #[derive(Debug)]
 pub struct ApplicationServer {
     /// Its name in the list.
-    pub name: String,
+    pub name: Arc<str>,
     /// Where it is reached.
     pub address: SocketAddr,
     mark: Arc<Mark>,
@@ -48,7 +48,7 @@
 impl ApplicationServer {
     /// An application server that takes new work.
     pub fn new(name: String, address: SocketAddr) -> ApplicationServer {
-        ApplicationServer { name, address, mark: Arc::default() }
+        ApplicationServer { name: name.into(), address, mark: Arc::default() }
     }
 
     /// The leave to write a pass's first byte now; none where the server drains, is gone or was taken out. It is
@@ -147,7 +147,7 @@
         // Passes on their way keep the mark, so that they see what the farm says now.
         let mark = before.map(|known| Arc::clone(&known.server.mark)).unwrap_or_default();
         mark.leaving.store(told.state != State::Ready, Ordering::SeqCst);
-        let server = Arc::new(ApplicationServer { name: listed.instance_id.clone(), address, mark });
+        let server = Arc::new(ApplicationServer { name: listed.instance_id.as_str().into(), address, mark });
         let known =
             Known { server, listed: entry, told: told.clone(), zone: listed.zone, told_slow_at: None };
         match self.known.get_mut(number.0 as usize) {
@@ -214,7 +214,7 @@
             return Judgement::default();
         }
         let ready = self.known.iter().filter(|known| known.listed.state == State::Ready);
-        judge(ready.map(|known| (known.server.name.as_str(), known.zone.as_str())), &self.overrides, now)
+        judge(ready.map(|known| (&*known.server.name, known.zone.as_str())), &self.overrides, now)
     }
 
     /// Marks of the servers that take nothing new by an operator's word.
@@ -260,7 +260,7 @@
 
     pub(super) fn look(&self, standing: &BTreeMap<ServerId, usize>) -> Vec<ServerLook> {
         let row = |known: &Known| ServerLook {
-            name: known.server.name.clone(),
+            name: known.server.name.to_string(),
             address: known.server.address,
             zone: known.zone.clone(),
             state: (known.listed.state, known.told.state),
--- a/balancer/src/core/ledger.rs
+++ b/balancer/src/core/ledger.rs
@@ -235,19 +235,17 @@
         self.open.iter().map(|(id, transaction)| (*id, transaction.place)).collect()
     }
 
-    /// The connections that stand and have not been told to move, the longest open first.
-    pub(super) fn movable(&self) -> Vec<u64> {
-        let stays = |transaction: &Transaction| {
-            matches!(transaction.place, Place::Standing(_)) && !transaction.moving
-        };
-        self.open.iter().filter(|(_, transaction)| stays(transaction)).map(|(id, _)| *id).collect()
+    /// The connections that stand and have not been told to move, with their servers, the longest open first.
+    pub(super) fn movable(&self) -> impl Iterator<Item = (u64, ServerId)> {
+        self.open.iter().filter_map(|(id, transaction)| match transaction.place {
+            Place::Standing(server) if !transaction.moving => Some((*id, server)),
+            _ => None,
+        })
     }
 
-    /// The connections that stand at a server and have not been told to move, the longest open first.
+    /// Those of them at one server.
     pub(super) fn movable_at(&self, at: ServerId) -> impl Iterator<Item = u64> {
-        let stays =
-            move |transaction: &Transaction| transaction.place == Place::Standing(at) && !transaction.moving;
-        self.open.iter().filter(move |(_, transaction)| stays(transaction)).map(|(id, _)| *id)
+        self.movable().filter(move |(_, server)| *server == at).map(|(id, _)| id)
     }
 
     /// Gives every transaction that does not stand the pin that it has now; names those for which it is another one.
--- a/balancer/src/core/mod.rs
+++ b/balancer/src/core/mod.rs
@@ -91,7 +91,7 @@
     /// A client asks for a connection; the carrier takes the orders.
     Opened(u64, Opening, Arc<dyn Carrier>),
     /// A connection that stands at that application server was taken over from another process.
-    Adopted(u64, Opening, String, Arc<dyn Carrier>),
+    Adopted(u64, Opening, Arc<str>, Arc<dyn Carrier>),
     /// The proxy pass stands.
     Established(u64),
     /// The proxy pass, or the connection that it became, has ended.
@@ -210,7 +210,7 @@
     }
 
     /// Takes over a connection that stands.
-    pub fn adopt(&self, opening: Opening, server: String, orders: Arc<dyn Carrier>) -> u64 {
+    pub fn adopt(&self, opening: Opening, server: Arc<str>, orders: Arc<dyn Carrier>) -> u64 {
         let id = self.next.fetch_add(1, Ordering::Relaxed);
         self.tell(Event::Adopted(id, opening, server, orders));
         id
--- a/balancer/src/handover.rs
+++ b/balancer/src/handover.rs
@@ -20,6 +20,8 @@
 use socket2::{Domain, SockAddr, Socket, Type};
 use tracing::{info, warn};
 
+use crate::net;
+
 /// Longest message: a server's name, and an opening line.
 const LONGEST: usize = 8 * 1024;
 /// A process that takes nothing for so long is given nothing more just now.
@@ -66,12 +68,12 @@
                     let taken = take_all(&giver, &*take);
                     info!(part = "handover", taken, "taken over");
                 };
-                if let Err(error) = std::thread::Builder::new().name("handover".into()).spawn(run) {
+                if let Err(error) = thread().spawn(run) {
                     warn!(part = "handover", why = %error, "no thread");
                 }
             }
         };
-        std::thread::Builder::new().name("handover".into()).spawn(accept).map(drop)
+        thread().spawn(accept).map(drop)
     }
 
     /// The process that takes this one's place, if there is one.
@@ -112,6 +114,10 @@
     }
 }
 
+fn thread() -> std::thread::Builder {
+    std::thread::Builder::new().name("handover".into()).stack_size(net::STACK)
+}
+
 /// Takes what one process gives until it ends; gives how many connections that were.
 fn take_all(giver: &Socket, take: &impl Fn(Given)) -> usize {
     let mut taken = 0;
--- a/balancer/src/net.rs
+++ b/balancer/src/net.rs
@@ -239,6 +239,8 @@
 #[derive(Default)]
 pub struct Outflow {
     bytes: Vec<u8>,
+    /// Bytes read of it since its last word.
+    drained: usize,
 }
 
 impl Outflow {
@@ -265,6 +267,37 @@
         Ok(())
     }
 
+    /// Says the last word, and ends the sending in order once it has been taken.
+    pub fn part(&mut self, to: &TcpStream, words: &[u8]) {
+        // A peer that is gone needs no answer.
+        let _ = self.send(to, &[words]);
+        if self.is_empty() {
+            finish(to);
+        }
+    }
+
+    /// Reads a peer that has had its last word; false once it has ended. Guards against a reset, which the system
+    /// makes of a close with bytes unread and which would overtake that word, and against a peer that goes on sending
+    /// at full speed.
+    pub fn linger(&mut self, mut of: &TcpStream) -> bool {
+        if !self.is_empty() {
+            if self.flush(of).is_err() {
+                return false;
+            }
+            if self.is_empty() {
+                finish(of);
+            }
+        }
+        match of.read(&mut [0; 4096]) {
+            Ok(0) => false,
+            Ok(count) => {
+                self.drained += count;
+                self.drained < MOST_DRAINED
+            }
+            Err(error) => is_wait(&error),
+        }
+    }
+
     /// Goes on writing what was kept.
     pub fn flush(&mut self, to: &TcpStream) -> io::Result<()> {
         let kept = std::mem::take(&mut self.bytes);
--- a/balancer/src/operations.rs
+++ b/balancer/src/operations.rs
@@ -4,7 +4,8 @@
 //! One thread and one loop that waits for nobody: answers are owed in a second under any load, beside callers that
 //! hold their connections and say nothing. What it may hold is set aside at the start.
 
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io;
+use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -16,7 +17,7 @@
 use crate::core::lifecycle::{Refused, State, Word};
 use crate::core::{Event, Handle, Told};
 use crate::http::{Incoming, Reply, Request, Unread};
-use crate::net::{self, Outflow, ReadError};
+use crate::net::{self, Listener, Outflow, ReadError};
 use crate::poller::{Bell, EventFlags, Poller};
 
 /// Callers at once; the one that has been silent longest gives way to the next.
@@ -61,7 +62,7 @@
     watched: EventFlags,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, PartialEq, Eq)]
 enum Phase {
     /// It has been answered, and is read until then.
     Answered(Instant),
@@ -74,13 +75,10 @@
 }
 
 /// Sets the port up, over all cores of the program.
-pub fn listen(on: SocketAddr, cores: Vec<Handle>) -> Result<Operations, String> {
-    let fault = |error| format!("listen on {on}: {error}");
-    let listener = net::listen(on).map_err(fault)?;
-    listener.set_nonblocking(true).map_err(fault)?;
-    let poller = Poller::new().map_err(fault)?;
-    poller.watch(&listener, LISTENER, (EventFlags::empty(), EventFlags::IN)).map_err(fault)?;
-    info!(part = "operations", %on, "serves");
+pub fn listen(Listener { socket: listener, .. }: Listener, cores: Vec<Handle>) -> io::Result<Operations> {
+    let poller = Poller::new()?;
+    poller.watch(&listener, LISTENER, (EventFlags::empty(), EventFlags::IN))?;
+    info!(part = "operations", on = %listener.local_addr()?, "serves");
     let callers = Vec::with_capacity(CALLERS);
     Ok(Operations { listener, poller, cores, callers, next: LISTENER + 1, followed: unbounded() })
 }
@@ -183,7 +181,11 @@
 
     fn hear(&mut self, caller: &mut Caller) {
         match caller.phase {
-            Phase::Answered(_) => caller.linger(),
+            Phase::Answered(_) => {
+                if !caller.out.linger(&caller.stream) {
+                    caller.phase = Phase::Over;
+                }
+            }
             // Until it is whole or nothing is left to be read: what a call may hold bounds this.
             Phase::Calling(_) => while matches!(caller.phase, Phase::Calling(_)) && self.hear_on(caller) {},
             Phase::Waiting(_) | Phase::Over => {}
@@ -235,9 +237,9 @@
         // That front whose state keeps the program from being ready, if one does.
         let told = shown.iter().find(|shown| !shown.is_ready()).or_else(|| shown.first());
         let state = told.map_or("starting", |shown| shown.state().name());
-        let works = shown.iter().all(|shown| shown.works());
+        let core = if shown.iter().all(|shown| shown.works()) { "works" } else { "silent" };
         let open: usize = self.cores.iter().map(Handle::connections).sum();
-        let body = json!({ "ready": ready, "state": state, "core": if works { "works" } else { "silent" }, "connections": open });
+        let body = json!({ "ready": ready, "state": state, "core": core, "connections": open });
         Reply::new(if ready { 200 } else { 503 }, body)
     }
 }
@@ -280,29 +282,7 @@
 impl Caller {
     fn answer(&mut self, reply: &Reply) {
         self.phase = Phase::Answered(Instant::now() + LAST_WORD);
-        // A caller that is gone needs no answer.
-        if self.out.send(&self.stream, &[&reply.bytes()]).is_err() {
-            self.phase = Phase::Over;
-        } else if self.out.is_empty() {
-            net::finish(&self.stream);
-        }
-    }
-
-    /// Goes on with an answered caller until it ends.
-    fn linger(&mut self) {
-        if !self.out.is_empty() {
-            match self.out.flush(&self.stream) {
-                Ok(()) if self.out.is_empty() => net::finish(&self.stream),
-                Ok(()) => {}
-                Err(_) => self.phase = Phase::Over,
-            }
-            return;
-        }
-        let mut unread = net::Intake::new(2048);
-        match unread.read(&self.stream, Instant::now()) {
-            Ok(()) | Err(ReadError::TimedOut) => {}
-            Err(_) => self.phase = Phase::Over,
-        }
+        self.out.part(&self.stream, &reply.bytes());
     }
 
     fn is_due(&self, now: Instant) -> bool {
@@ -322,7 +302,7 @@
 
     fn wants(&self) -> EventFlags {
         match self.phase {
-            Phase::Answered(_) if !self.out.is_empty() => EventFlags::OUT,
+            Phase::Answered(_) if !self.out.is_empty() => EventFlags::IN | EventFlags::OUT,
             Phase::Answered(_) | Phase::Calling(_) => EventFlags::IN,
             // One that leaves meanwhile is answered in vain.
             Phase::Waiting(_) | Phase::Over => EventFlags::empty(),
--- a/balancer/src/serve.rs
+++ b/balancer/src/serve.rs
@@ -68,7 +68,9 @@
     let (mut serving, mut reloads) = (Vec::new(), Vec::new());
     // The platform starts a balancer without a word; an operator's file may stand alone.
     let config = if operator.is_none() || on_platform { Some(Config::read()?) } else { None };
-    let operations_on = Config::operations(config.as_ref())?;
+    // Before a client is accepted: a program that can't have its port ends, and must not have taken clients from a
+    // process that serves on the same listener.
+    let operations = Config::operations(config.as_ref())?.map(listen).transpose()?;
     if let Some(config) = config {
         let (front, reload) = start_platform(config, inherited, clock, (&set, &door))?;
         serving.push(front);
@@ -99,8 +101,9 @@
         reloads.push(Reload::Operator { path, others, file, target, sockets, cores, farms: 0 });
     }
     let told: Vec<Handle> = serving.iter().map(|front| front.core.clone()).collect();
-    if let Some(on) = operations_on {
-        let operations = operations::listen(on, told.clone())?;
+    if let Some(listener) = operations {
+        let operations = operations::listen(listener, told.clone());
+        let operations = operations.map_err(|error| format!("operations port: {error}"))?;
         spawn("operations", move || operations.run())?;
     }
     spawn("signals", move || {
--- a/balancer/src/stages/relay.rs
+++ b/balancer/src/stages/relay.rs
@@ -22,8 +22,6 @@
 const CHUNK: usize = 4096;
 /// Questions of one connection that may be unanswered at once; a client that asks more is at fault.
 const MOST_ASKED: usize = 1024;
-/// Most that is read of a client that has had its last word.
-const MOST_DRAINED: usize = 64 * 1024;
 
 /// A client's connection, and what is kept of what it sent and is to hear.
 pub struct Link {
@@ -37,7 +35,6 @@
     probe: Option<Probe>,
     /// It has had its last word.
     over: bool,
-    drained: usize,
 }
 
 impl Client for Link {
@@ -70,7 +67,7 @@
     pub fn new<F: Front>(front: &F, client: TcpStream, early: Vec<u8>) -> Link {
         let (framer, most_early, probe) = (front.client_framer(), front.most_early(), front.probe());
         let out = Outflow::default();
-        Link { client, framer, kept: early, out, most_early, probe, over: false, drained: 0 }
+        Link { client, framer, kept: early, out, most_early, probe, over: false }
     }
 
     /// Whether the client has had its last word.
@@ -81,33 +78,12 @@
     /// Says the last word, and ends the connection in order once it has been taken.
     pub fn answer(&mut self, words: &[u8]) {
         self.over = true;
-        // A client that is gone needs no answer.
-        let _ = self.out.send(&self.client, &[words]);
-        if self.out.is_empty() {
-            net::finish(&self.client);
-        }
+        self.out.part(&self.client, words);
     }
 
-    /// Reads a client that has had its last word; false once it has ended. Guards against a reset, which the system
-    /// makes of a close with bytes unread and which would overtake that word, and against a client that goes on
-    /// sending at full speed.
+    /// Reads a client that has had its last word; false once it has ended.
     pub fn linger(&mut self) -> bool {
-        if !self.out.is_empty() {
-            if self.out.flush(&self.client).is_err() {
-                return false;
-            }
-            if self.out.is_empty() {
-                net::finish(&self.client);
-            }
-        }
-        match (&self.client).read(&mut [0; CHUNK]) {
-            Ok(0) => false,
-            Ok(count) => {
-                self.drained += count;
-                self.drained < MOST_DRAINED
-            }
-            Err(error) => net::is_wait(&error),
-        }
+        self.out.linger(&self.client)
     }
 
     /// What is wanted of a client that has had its last word.
--- a/balancer/src/stages/transaction.rs
+++ b/balancer/src/stages/transaction.rs
@@ -183,17 +183,7 @@
             Brought::Admitted(admitted) => {
                 let Admitted { link, opening, greeting, counted } = *admitted;
                 let id = self.shared.core.open(opening, Arc::clone(&self.desk) as Arc<dyn Carrier>);
-                let transaction = Transaction {
-                    id,
-                    greeting: Some(Arc::new(greeting)),
-                    phase: Phase::Waiting(link),
-                    at: None,
-                    begun: Instant::now(),
-                    watched: (EventFlags::empty(), EventFlags::empty()),
-                    _counted: counted,
-                };
-                self.open.insert(id, transaction);
-                self.with(id, |_, _| ());
+                self.enter(id, greeting, (Phase::Waiting(link), None), counted);
             }
             Brought::Ordered(id, Order::Pass { to, within }) => {
                 let lent = self.open.get_mut(&id).and_then(|transaction| transaction.lend(&self.poller, &to));
@@ -270,20 +260,23 @@
             net::finish(&server);
             return link.answer(moving);
         };
-        let at_now: Arc<str> = at.as_str().into();
-        let opening = Opening { held_by: None, ..opening };
-        let id = core.adopt(opening, at, Arc::clone(&self.desk) as Arc<dyn Carrier>);
+        let (opening, at) = (Opening { held_by: None, ..opening }, Arc::from(at));
+        let id = core.adopt(opening, Arc::clone(&at), Arc::clone(&self.desk) as Arc<dyn Carrier>);
         let standing = Standing::new(&**front, link, server, core, id);
-        let transaction = Transaction {
-            id,
-            greeting: Some(Arc::new(greeting)),
-            phase: Phase::Standing(Box::new(standing)),
-            at: Some(at_now),
-            begun: Instant::now(),
-            watched: (EventFlags::empty(), EventFlags::empty()),
-            _counted: counted,
-        };
-        self.open.insert(id, transaction);
+        self.enter(id, greeting, (Phase::Standing(Box::new(standing)), Some(at)), counted);
+    }
+
+    /// Serves one more transaction.
+    fn enter(
+        &mut self,
+        id: u64,
+        greeting: F::Greeting,
+        (phase, at): (Phase, Option<Arc<str>>),
+        _counted: Counted,
+    ) {
+        let (greeting, begun) = (Some(Arc::new(greeting)), Instant::now());
+        let watched = (EventFlags::empty(), EventFlags::empty());
+        self.open.insert(id, Transaction { id, greeting, phase, at, begun, watched, _counted });
         self.with(id, |_, _| ());
     }
 
@@ -339,7 +332,7 @@
         poller.watch(link.stream(), self.id * 2, (self.watched.0, nothing)).ok()?;
         self.watched = (nothing, nothing);
         self.begun = Instant::now();
-        self.at = Some(to.name.as_str().into());
+        self.at = Some(Arc::clone(&to.name));
         let Phase::Waiting(link) = std::mem::replace(&mut self.phase, Phase::Passing(None)) else {
             return None;
         };
--- a/cli/tests/handover.rs
+++ b/cli/tests/handover.rs
@@ -146,12 +146,13 @@
     first.kill();
     let ids: HashSet<String> = (0..8).map(|number| format!("a{number}")).collect();
     ids.iter().for_each(|id| shared.open(id).hears("UP r"));
-    // One that can't start serving harms nobody.
+    // One that can't start serving harms nobody: it ends before it takes a client.
     let taken = listener();
     let address = taken.local_addr().expect("bound").to_string();
     let env = [("LB_CONFIG", shared.path.as_str()), ("LB_ADMIN_ADDR", &address)];
     let mut third = Program::start_inheriting(&shared.held, &env);
-    third.says("cannot start");
+    let said = third.says("");
+    assert!(said.contains("cannot start"), "it never served: {said}");
     assert!(!third.ends().success());
     shared.open("b").hears("UP r");
     drop(second);
--- a/cli/tests/operations.rs
+++ b/cli/tests/operations.rs
@@ -4,6 +4,8 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use support::site::Site;
@@ -107,6 +109,25 @@
     let _stands = site.stand();
 }
 
+#[test]
+fn a_drain_that_is_undone_half_way_leaves_those_in_peace_who_have_not_been_told() {
+    let (site, api) = site("undone");
+    let (mut first, _server) = site.stand();
+    let (mut second, mut server) = site.stand();
+    let called = Instant::now();
+    assert_eq!(api.call("POST", "/standby", "").status, 200);
+    first.hears("MOVE");
+    assert_eq!(api.call("POST", "/active", "").status, 200);
+    hears_of_ping(&site, "PONG");
+    // The second one's turn would have come after 1.35 s.
+    while called.elapsed() < Duration::from_secs(2) {
+        second.say("line\r\n");
+        assert_eq!(server.hear().as_deref(), Some("line"));
+        server.say("ok\r\n");
+        second.hears("ok");
+    }
+}
+
 #[test]
 fn on_standby_what_is_on_its_way_gets_its_final_answer() {
     let (site, api) = site("answers");
@@ -134,7 +155,8 @@
 
 #[test]
 fn silent_callers_and_a_flood_of_clients_keep_no_call_from_its_answer() {
-    let (site, api) = site("silent");
+    let (mut site, api) = site("silent");
+    obliges(site.servers.remove(0));
     let silent: Vec<TcpStream> = (0..64)
         .map(|number| {
             let mut caller = Peer::connect(api.at).stream;
@@ -144,13 +166,26 @@
             caller
         })
         .collect();
-    let mut clients: Vec<Peer> = Vec::new();
-    for _ in 0..20 {
-        clients.extend((0..8).map(|_| Peer::connect(site.at)));
+    let opened = Arc::new(AtomicUsize::new(0));
+    let flood = |number| {
+        let (at, opened) = (site.at, Arc::clone(&opened));
+        std::thread::spawn(move || {
+            // One that is turned away comes again at once; one that stands leaves.
+            for count in 0..100 {
+                let mut client = Peer::connect(at);
+                client.say(&format!("OPEN f{number}x{count} 02 c=chat,t=acme,d=2500,g=3\r\n"));
+                client.hear_or_end();
+                opened.fetch_add(1, Ordering::SeqCst);
+            }
+        })
+    };
+    let floods: Vec<_> = (0..4).map(flood).collect();
+    while opened.load(Ordering::SeqCst) < 400 {
         let asked = Instant::now();
         assert_eq!(api.call("GET", "/status", "").status, 200);
         assert!(asked.elapsed() < Duration::from_secs(1));
     }
+    floods.into_iter().for_each(|flood| flood.join().expect("it goes on"));
     // The first to come gave way; one that is still there is told when its time is up.
     let mut last = Peer::new(silent.into_iter().next_back().expect("64 of them"));
     last.hears("HTTP/1.1 408 Request Timeout");
--- a/tests/herd.rs
+++ b/tests/herd.rs
@@ -79,13 +79,19 @@
     assert_eq!(long, 12, "as at the start");
 }
 
+/// One of so many gateways that has to ask for the list, just started, and what it does.
+fn started(gateways: u32, seed: u64) -> (beaconflow::Balancer, Vec<Action>) {
+    let settings = Settings { gateways, discovery: Discovery::Asked, ..settings() };
+    let mut balancer = beaconflow::Balancer::new(settings, seed).expect("sound settings");
+    let mut out = Vec::new();
+    balancer.handle(SECOND, Event::List { kind: ListKind::Cached, entries: vec![entry(0)] }, &mut out);
+    (balancer, out)
+}
+
 #[test]
 fn a_herd_asks_for_the_list_spread_over_its_number_and_a_few_gateways_at_once() {
     let asked = |gateways, seed| {
-        let settings = Settings { gateways, discovery: Discovery::Asked, ..settings() };
-        let mut balancer = beaconflow::Balancer::new(settings, seed).expect("sound settings");
-        let mut out = Vec::new();
-        balancer.handle(SECOND, Event::List { kind: ListKind::Cached, entries: vec![entry(0)] }, &mut out);
+        let (_, out) = started(gateways, seed);
         if out.contains(&Action::Watch) {
             return 0;
         }
@@ -109,11 +115,7 @@
 #[test]
 fn a_call_that_failed_is_repeated_by_a_herd_over_a_span_and_not_at_once() {
     let first_repeat = |gateways, seed| {
-        let settings = Settings { gateways, discovery: Discovery::Asked, ..settings() };
-        let mut balancer = beaconflow::Balancer::new(settings, seed).expect("sound settings");
-        let mut out = Vec::new();
-        balancer.handle(SECOND, Event::List { kind: ListKind::Cached, entries: vec![entry(0)] }, &mut out);
-        out.clear();
+        let (mut balancer, mut out) = (started(gateways, seed).0, Vec::new());
         balancer.handle(SECOND, Event::List { kind: ListKind::Failed, entries: Vec::new() }, &mut out);
         let wakes = out.iter().find_map(|action| match action {
             Action::Wake { after, .. } => Some(*after),
