A connection that can't be handed over just now is offered again, and nobody waits for it

And one inside a line at SIGTERM was offered once only, then moved.

Change: the way to the next process does not block; what can't go now is offered again at each look, every 0.1 s, until its turn to be moved.

Test: one whose line is completed after the others have gone over goes over too; it fails without the change.

--- a/balancer/src/handover.rs
+++ b/balancer/src/handover.rs
@@ -10,7 +10,6 @@
 use std::os::fd::{AsFd, OwnedFd};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::time::Duration;
 
 use rustix::net::sockopt::socket_peercred;
 use rustix::net::{
@@ -24,8 +23,6 @@
 
 /// Longest message: a server's name, and an opening line.
 const LONGEST: usize = 8 * 1024;
-/// A process that takes nothing for so long is given nothing more just now.
-const PATIENCE: Duration = Duration::from_millis(100);
 /// Messages are whole or not there.
 const KIND: Type = Type::SEQPACKET;
 
@@ -89,7 +86,8 @@
             }
             Err(error) => return Err(error),
         }
-        socket.set_write_timeout(Some(PATIENCE))?;
+        // Whoever gives serves all clients, and waits for nobody.
+        socket.set_nonblocking(true)?;
         let other = socket_peercred(&socket)?.pid.as_raw_nonzero().get();
         let is_own = u32::try_from(other).is_ok_and(|other| other == std::process::id());
         Ok((!is_own).then_some(Giver(socket)))
@@ -100,7 +98,8 @@
 pub struct Giver(Socket);
 
 impl Giver {
-    /// Gives a connection away. Its sockets are the other's from then on: here they may only be closed.
+    /// Gives a connection away. Its sockets are the other's from then on: here they may only be closed. One that would
+    /// block is to be given later: some hundreds may be on their way at once.
     pub fn give(&self, (client, server): (&TcpStream, &TcpStream), at: &str, line: &[u8]) -> io::Result<()> {
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
         let mut with = SendAncillaryBuffer::new(&mut space);
@@ -166,6 +165,7 @@
 mod tests {
     use std::io::{Read, Write};
     use std::net::TcpListener;
+    use std::time::Duration;
 
     use super::*;
 
--- a/balancer/src/stages/transaction.rs
+++ b/balancer/src/stages/transaction.rs
@@ -140,8 +140,15 @@
     let desk = Desk { brought, bell: poller.bell() };
     let shared =
         Shared { front: Arc::clone(front), core: core.clone(), moving: front.say(Word::Move), place };
-    let server =
-        Server { shared, poller, inbox, desk: Arc::new(desk.clone()), open: HashMap::new(), giver: None };
+    let server = Server {
+        shared,
+        poller,
+        inbox,
+        desk: Arc::new(desk.clone()),
+        open: HashMap::new(),
+        giver: None,
+        ungiven: Vec::new(),
+    };
     std::thread::Builder::new().name("transactions".into()).spawn(move || server.run())?;
     Ok(desk)
 }
@@ -154,6 +161,8 @@
     open: HashMap<u64, Transaction<F>>,
     /// The way to the process that takes this one's place, once it has been looked for.
     giver: Option<Option<Giver>>,
+    /// Connections that could not be given just now; each look tries them again.
+    ungiven: Vec<u64>,
 }
 
 impl<F: Front> Server<F> {
@@ -174,6 +183,9 @@
                 for id in all {
                     self.with(id, Transaction::look);
                 }
+                for id in std::mem::take(&mut self.ungiven) {
+                    self.give(id);
+                }
             }
         }
     }
@@ -205,17 +217,17 @@
         }
     }
 
-    /// Gives a standing connection to the process that takes this one's place, if there is one and nothing of the
-    /// connection is here; else it is moved when its turn comes.
+    /// Gives a standing connection to the process that takes this one's place, if there is one. It can be given while
+    /// nothing of it is here and the other takes it; until then it is tried again, or moved when its turn comes.
     fn give(&mut self, id: u64) {
-        let Server { shared, poller, giver, open, .. } = self;
+        let Server { shared, poller, giver, open, ungiven, .. } = self;
         let Some(transaction) = open.get_mut(&id) else { return };
         let (Phase::Standing(standing), Some(greeting), Some(at)) =
             (&transaction.phase, transaction.greeting.as_deref(), transaction.at.as_deref())
         else {
             return;
         };
-        let Some(line) = shared.front.opening(greeting).filter(|_| standing.is_clear()) else { return };
+        let Some(line) = shared.front.opening(greeting) else { return };
         let found = giver.get_or_insert_with(|| {
             let found = shared.place.as_ref().map_or(Ok(None), Place::find);
             found.unwrap_or_else(|error| {
@@ -224,6 +236,9 @@
             })
         });
         let Some(giver) = found else { return };
+        if !standing.is_clear() {
+            return ungiven.push(id);
+        }
         let (client, server) = standing.sides();
         // The other process has the same sockets: left in this poller they would be told ready here for what is there.
         let nothing = EventFlags::empty();
@@ -240,7 +255,11 @@
                 self.open.remove(&id);
             }
             Err(error) => {
-                warn!(part = shared.front.name(), transaction = id, why = %error, "not handed over");
+                if net::is_wait(&error) {
+                    ungiven.push(id);
+                } else {
+                    warn!(part = shared.front.name(), transaction = id, why = %error, "not handed over");
+                }
                 self.with(id, |_, _| ());
             }
         }
--- a/cli/tests/handover.rs
+++ b/cli/tests/handover.rs
@@ -110,13 +110,22 @@
     let (mut old, _) = shared.start();
     let mut clients: Vec<Peer> = (0..6).map(|number| shared.open(&format!("s{number}"))).collect();
     clients.iter_mut().for_each(|client| client.hears("UP r"));
-    let mut half = shared.open("half");
-    half.hears("UP r");
-    half.say("half\r\n");
-    assert_eq!(half.bytes(2), "ha");
+    let half = |id| {
+        let mut half = shared.open(id);
+        half.hears("UP r");
+        half.say("half\r\n");
+        assert_eq!(half.bytes(2), "ha");
+        half
+    };
+    let (mut half, mut whole) = (half("half"), half("whole"));
     let (mut second, _) = shared.start();
     old.signal("TERM");
-    second.says("taken over taken=6");
+    old.says("to=leaving");
+    // The rest of its line comes when all others have gone over.
+    whole.say("rest\r\n");
+    whole.hears("lf");
+    second.says("taken over taken=7");
+    clients.push(whole);
     assert_ne!(half.hear().as_deref(), Some("ok"), "cut off inside its line after a while");
     assert!(old.left(), "it leaves by itself");
     for client in &mut clients {
@@ -127,7 +136,7 @@
     shared.open("s3").hears("ERR");
     let (third, _) = shared.start();
     second.signal("TERM");
-    third.says("taken over taken=6");
+    third.says("taken over taken=7");
     assert!(second.left(), "it leaves by itself");
     for client in &mut clients {
         client.say("line\r\n");
--- a/cli/tests/support/mod.rs
+++ b/cli/tests/support/mod.rs
@@ -253,8 +253,12 @@
         return;
     }
     while let Some(line) = peer.hear_or_end() {
-        // One asks for half a line, and never gets the other half.
-        let answer: &[u8] = if line.starts_with("half") { b"ha" } else { b"ok\r\n" };
+        // One asks for half a line, and has to ask for the rest.
+        let answer: &[u8] = match line.trim_end() {
+            "half" => b"ha",
+            "rest" => b"lf\r\n",
+            _ => b"ok\r\n",
+        };
         if peer.stream.write_all(answer).is_err() {
             return;
         }
