A last word cuts its pass short: no client is lost when the program leaves

The core gave the request up 2.7 s after SIGTERM, but transaction.rs kept an answer that came during a pass until the pass had ended by itself (`Phase::Passing(answer) => *answer = Some(order)`), 1.6 s later; the program leaves 3.5 s after SIGTERM at the latest.

Ruled out: a client in the accept queue (`open=1` is a counted transaction), an opening half heard (openings are waited for).

Change: the link that a pass looks after carries a mark that is set with the last word; the pass looks at it every 50 ms, ends, closes its connection and brings the client back, who hears the word at once.

Test: a story over loopback; without the mark the client's connection ends with no answer.

Doubt: a pass that still connects looks only when it is up, 0.2 s at the latest.

--- a/balancer/src/pass.rs
+++ b/balancer/src/pass.rs
@@ -5,7 +5,7 @@
 use std::fmt;
 use std::io;
 use std::net::TcpStream;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use beaconflow::api::Outcome;
 
@@ -14,6 +14,8 @@
 
 /// Most bytes read ahead from a server that is being asked.
 const MOST_AHEAD: usize = 8 * 1024;
+/// A pass looks so often whether its client has been given up on.
+const GIVEN_UP_LOOK: Duration = Duration::from_millis(50);
 
 /// How far a proxy pass had come when it ended. What became of its transaction follows from this alone.
 #[derive(Debug)]
@@ -145,6 +147,9 @@
     /// Its connection.
     fn stream(&self) -> &TcpStream;
 
+    /// Whether its last word waits for the end of the pass.
+    fn is_given_up(&self) -> bool;
+
     /// Looks at it: keeps what it sent early, and tells if it has left or sent more than is kept.
     fn look(&mut self) -> Result<(), ReadError>;
 }
@@ -219,7 +224,10 @@
             }
             let left = self.until.saturating_duration_since(Instant::now());
             let sides = [(&self.server, PollFlags::IN), (self.client.stream(), PollFlags::IN)];
-            let [server_ready, client_ready] = net::ready(sides, left);
+            let [server_ready, client_ready] = net::ready(sides, left.min(GIVEN_UP_LOOK));
+            if self.client.is_given_up() {
+                return Err(failed(ReadError::TimedOut));
+            }
             if client_ready {
                 self.client.look().map_err(PassError::ClientLeft)?;
             }
--- a/balancer/src/stages/relay.rs
+++ b/balancer/src/stages/relay.rs
@@ -5,6 +5,8 @@
 use std::collections::VecDeque;
 use std::io::Read;
 use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use beaconflow::api::Note;
@@ -35,9 +37,15 @@
     probe: Option<Probe>,
     /// It has had its last word.
     over: bool,
+    /// Set while a pass looks after it: whoever holds the other end has its last word.
+    given_up: Arc<AtomicBool>,
 }
 
 impl Client for Link {
+    fn is_given_up(&self) -> bool {
+        self.given_up.load(Ordering::Relaxed)
+    }
+
     fn stream(&self) -> &TcpStream {
         &self.client
     }
@@ -67,7 +75,13 @@
     pub fn new<F: Front>(front: &F, client: TcpStream, early: Vec<u8>) -> Link {
         let (framer, most_early, probe) = (front.client_framer(), front.most_early(), front.probe());
         let out = Outflow::default();
-        Link { client, framer, kept: early, out, most_early, probe, over: false }
+        let given_up = Arc::default();
+        Link { client, framer, kept: early, out, most_early, probe, over: false, given_up }
+    }
+
+    /// To be set when its last word is there and a pass looks after it.
+    pub fn give_up(&self) -> Arc<AtomicBool> {
+        Arc::clone(&self.given_up)
     }
 
     /// Whether the client has had its last word.
--- a/balancer/src/stages/transaction.rs
+++ b/balancer/src/stages/transaction.rs
@@ -10,6 +10,7 @@
 use std::net::TcpStream;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
@@ -98,7 +99,7 @@
     /// It waits for the core.
     Waiting(Link),
     /// A pass is out, which has the client; the core's final answer may have come meanwhile.
-    Passing(Option<Order>),
+    Passing(Option<Order>, Arc<AtomicBool>),
     Standing(Box<Standing>),
     /// The client has ended its sending; the server is heard out until then.
     HearingOut(Box<Standing>, Instant),
@@ -352,7 +353,8 @@
         self.watched = (nothing, nothing);
         self.begun = Instant::now();
         self.at = Some(Arc::clone(&to.name));
-        let Phase::Waiting(link) = std::mem::replace(&mut self.phase, Phase::Passing(None)) else {
+        let passing = Phase::Passing(None, link.give_up());
+        let Phase::Waiting(link) = std::mem::replace(&mut self.phase, passing) else {
             return None;
         };
         Some((link, greeting))
@@ -379,7 +381,7 @@
                     self.phase = Phase::Over;
                 }
             }
-            Phase::Passing(_) | Phase::Over => {}
+            Phase::Passing(..) | Phase::Over => {}
         }
     }
 
@@ -403,7 +405,11 @@
             }
             // A move was ordered when the connection had just ended, or before it stands.
             (_, Order::Move | Order::Pass { .. } | Order::Give) => {}
-            (Phase::Passing(answer), order) => *answer = Some(order),
+            // Guards against a last word that waits for a server that says nothing, while the program leaves.
+            (Phase::Passing(answer, give_up), order) => {
+                give_up.store(true, Ordering::Relaxed);
+                *answer = Some(order);
+            }
             (Phase::Waiting(_), Order::Unavailable(after)) => self.answer(Word::Unavailable(after), shared),
             (Phase::Waiting(_), Order::Failed) => self.answer(Word::Failed, shared),
             _ => {}
@@ -413,7 +419,7 @@
     /// A pass has ended.
     fn passed(&mut self, link: Link, passed: Option<Result<Passed, PassError>>, shared: &Shared<F>) {
         let answer = match std::mem::replace(&mut self.phase, Phase::Waiting(link)) {
-            Phase::Passing(answer) => answer,
+            Phase::Passing(answer, _) => answer,
             _ => None,
         };
         let Some(passed) = passed else { return self.panicked(shared) };
@@ -512,7 +518,7 @@
                 let (wants_client, wants_server) = standing.wants();
                 (client, Some(server), (wants_client & EventFlags::OUT, wants_server))
             }
-            Phase::Passing(_) | Phase::Over => return Ok(()),
+            Phase::Passing(..) | Phase::Over => return Ok(()),
         };
         poller.watch(client, self.id * 2, (self.watched.0, wanted.0))?;
         if let Some(server) = server {
--- a/cli/tests/platform.rs
+++ b/cli/tests/platform.rs
@@ -317,3 +317,18 @@
     late.hears("MOVE");
     assert!(site.program.left(), "it leaves by itself");
 }
+
+#[test]
+fn whoever_waits_for_a_silent_server_has_a_last_word_before_the_program_leaves() {
+    let mut site = Site::start("lastword", 1);
+    // Their moves are spread over the drain: the second one's says that a third of it has gone by.
+    let mut standing = [site.stand(), site.stand(), site.stand()];
+    site.program.signal("TERM");
+    standing[1].0.hears("MOVE");
+    let mut client = Peer::connect(site.at);
+    client.say("OPEN ff 02 c=once,t=acme,d=3000,g=3\r\n");
+    let mut server = Peer::accept(&site.servers[0]);
+    server.hear().expect("an opening");
+    client.hears("ERR");
+    assert!(site.program.left(), "it leaves by itself");
+}
