One cold budget for the whole fleet; a half-new farm is refilled as it warms

Of 700 set-ups a second after the drain 14 went to cold servers. Lines at fault, src/rules.rs: `admits` let each of 273 gateways send to each cold server what it had saved up since it last asked that server, 1.5 s at most; one that sees a client each 4 s and asks each of 81 servers once a minute saves next to nothing.

Ruled out: the store of set-ups (635 a second came to stand, 50 ms median); refusals by full servers (none); groups that lie too wide (1.76 loads for each connection, 1.47 at best).

Change: - src/fleet.rs, pure: what is bounded over the fleet and one gateway's part of it. New clients go to cold servers by odds, which add up whatever the shares of traffic; clients that come again have a rate, of which 1.5 s can be saved up, since a whole fleet's come at once. Both are parts of what tips cold servers, counted by the new clients that the farm bears. - Groups' orders follow the ramp, and a group's servers have a warm one among them: nobody waits since all refuse. - Each second a gateway that holds too little on cold servers moves one connection there, by odds out of the same rate. - `even_out` takes no notice of fewer than six connections where there are many gateways: with three in all, one on a small server passed for far over the mean, and 13 to 23 a second were moved to and fro. - A line for each pass with BEACONFLOW_LOG=debug.

--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -216,6 +216,7 @@
         class: ClassId(need(message.grade, "grade")?),
         key: message.resource.as_deref().map(|text| ClientKey(digest(text))),
         group: message.group.as_deref().map(|text| GroupId(digest(text))),
+        returns: message.returned,
         load: message.expected_ns.map(|span| span as f64 / 1e3),
         pin: None,
     })
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -29,6 +29,8 @@
     #[serde(borrow)]
     pub resource: Option<Cow<'a, str>>,
     pub grade: Option<usize>,
+    #[serde(default)]
+    pub returned: bool,
     pub expected_ns: Option<u64>,
     #[serde(borrow)]
     pub group: Option<Cow<'a, str>>,
--- a/balancer/src/core/admit.rs
+++ b/balancer/src/core/admit.rs
@@ -7,6 +7,8 @@
 
 use crate::clock::nanos;
 
+use tracing::debug;
+
 use super::{Carrier, Core, Due, HELD_PATIENCE, HELD_RETRY, Opening, Order};
 
 impl Core {
@@ -21,6 +23,18 @@
         if !held {
             self.gate.asked(self.clock.now(), &opening, &entry);
         }
+        debug!(
+            part = self.name,
+            transaction = id,
+            key = opening.key,
+            group = opening.group,
+            class = opening.class,
+            load = opening.load,
+            again = opening.again,
+            held,
+            patience_ms = opening.patience.as_millis(),
+            "opened"
+        );
         let arrival = self.ledger.open(id, opening, orders, pin, entry);
         if !self.takes_newcomers() {
             // Guards against newcomers placed through a program that is about to move them again.
--- a/balancer/src/core/ledger.rs
+++ b/balancer/src/core/ledger.rs
@@ -288,6 +288,7 @@
             class: ClassId(self.opening.class),
             key: self.opening.key.map(ClientKey),
             group: self.opening.group.map(GroupId),
+            returns: self.opening.again,
             load: self.opening.load,
             pin: self.pin,
         }
--- a/balancer/src/core/mod.rs
+++ b/balancer/src/core/mod.rs
@@ -40,7 +40,7 @@
 use ledger::{Ledger, Stands};
 use lifecycle::{Lifecycle, Refused, Shown, State, Word};
 pub use overrides::{InEffect, OverrideChange};
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 use crate::clock::{Clock, nanos};
 use crate::farm::{List, News};
@@ -492,6 +492,9 @@
 
     fn take_list(&mut self, list: List, known: bool) {
         let (count, reset, generation) = (list.instances.len(), list.reset, list.generation);
+        for listed in &list.instances {
+            debug!(part = self.name, entry = ?listed, "listed");
+        }
         let entries = self.farm.learn(list, self.now_ms(), |zone| self.zones.zone(zone));
         let kind = match (known, reset) {
             (true, _) => api::ListKind::Cached,
@@ -513,6 +516,7 @@
     fn established(&mut self, id: u64) {
         let now = self.clock.now();
         let Some(Stands { attempt, server, held, class, took }) = self.ledger.stands(id, now) else { return };
+        debug!(part = self.name, transaction = id, held, took_ms = took / 1_000_000, "stands");
         if held {
             let Some(arrival) = self.ledger.restart(id) else { return };
             self.decide(api::Event::Standing { arrival, server });
@@ -525,6 +529,7 @@
 
     fn ended(&mut self, id: u64, outcome: Outcome, took: Duration) {
         let Some(ended) = self.ledger.ended(id, outcome) else { return };
+        debug!(part = self.name, transaction = id, stood = ended.stood, outcome = ?outcome, took_ms = took.as_millis(), "pass ended");
         if ended.held {
             let name = self.ledger.get(id).and_then(|transaction| transaction.opening.held_by.as_deref());
             let name = name.unwrap_or_default();
--- a/balancer/src/core/route.rs
+++ b/balancer/src/core/route.rs
@@ -7,7 +7,7 @@
 use beaconflow::Balancer;
 use beaconflow::api::{self, Action};
 use beaconflow_admission::Miss;
-use tracing::{error, info};
+use tracing::{debug, error, info};
 
 use super::ledger::{Place, Transaction};
 use super::{Core, Due, Order};
@@ -39,6 +39,8 @@
         match action {
             Action::Attempt { request, server, timeout } => match self.farm.get(server) {
                 Some(to) => {
+                    let key = self.ledger.get(request.0).and_then(|transaction| transaction.opening.key);
+                    debug!(part = self.name, transaction = request.0, key, server = %to.name, within_ms = timeout / 1_000_000, "pass");
                     let (now, order) =
                         (self.clock.now(), Order::Pass { to, within: Duration::from_nanos(timeout) });
                     if let Some((entry, waited)) = self.ledger.pass(request.0, server, order, now) {
@@ -67,6 +69,7 @@
     }
 
     pub(super) fn answer(&mut self, id: u64, order: Order) {
+        debug!(part = self.name, transaction = id, answer = ?order, "last word");
         match order {
             Order::Unavailable(_) => self.ledger.counts.unavailable += 1,
             _ => self.ledger.counts.failed += 1,
@@ -89,6 +92,7 @@
 
     /// Tells a client to move, and remembers it for when it comes again.
     pub(super) fn order_move(&mut self, id: u64) {
+        debug!(part = self.name, transaction = id, "told to move");
         self.ledger.order(id, Order::Move);
         if let Some(key) = self.ledger.get(id).and_then(|transaction| transaction.opening.key) {
             self.gate.told_to_move(self.clock.now(), key);
--- a/balancer/src/log.rs
+++ b/balancer/src/log.rs
@@ -26,18 +26,25 @@
 
 /// Begins the log in a form; it keeps the form that it was first given.
 pub fn start(form: Form) {
-    let lines = tracing_subscriber::registry().with(Lines { form });
+    let most = if std::env::var("BEACONFLOW_LOG").is_ok_and(|word| word == "debug") {
+        Level::DEBUG
+    } else {
+        Level::INFO
+    };
+    let lines = tracing_subscriber::registry().with(Lines { form, most });
     let _ = tracing::subscriber::set_global_default(lines);
 }
 
 /// Writes events of the program's own crates as lines.
 struct Lines {
     form: Form,
+    /// The least grave level that is written: `debug` follows each transaction, for a look at a farm in trouble.
+    most: Level,
 }
 
 impl<S: Subscriber + for<'a> LookupSpan<'a>> Layer<S> for Lines {
     fn enabled(&self, about: &tracing::Metadata<'_>, _: Context<'_, S>) -> bool {
-        *about.level() <= Level::INFO && about.target().starts_with("beaconflow")
+        *about.level() <= self.most && about.target().starts_with("beaconflow")
     }
 
     fn on_event(&self, event: &Event<'_>, _: Context<'_, S>) {
@@ -47,6 +54,7 @@
         let level = match *event.metadata().level() {
             Level::ERROR => "error",
             Level::WARN => "warn",
+            Level::DEBUG => "debug",
             _ => "info",
         };
         let mut text = match self.form {
--- a/lab/src/engine.rs
+++ b/lab/src/engine.rs
@@ -328,6 +328,7 @@
             class: ClassId(client.class as usize),
             key: Some(ClientKey(client.key)),
             group: client.group.map(|group| GroupId(u64::from(group).wrapping_mul(0xbf58_476d_1ce4_e5b9))),
+            returns: client.returns,
             load: None,
             pin: None,
         }
--- a/overrides/benches/effects.rs
+++ b/overrides/benches/effects.rs
@@ -55,6 +55,7 @@
                     class: ClassId(0),
                     key: Some(ClientKey(next)),
                     group: None,
+                    returns: false,
                     load: None,
                     pin,
                 };
--- a/src/api.rs
+++ b/src/api.rs
@@ -280,6 +280,8 @@
     pub key: Option<ClientKey>,
     /// The group it shares work with.
     pub group: Option<GroupId>,
+    /// Its client says that it was moved, or that its connection broke.
+    pub returns: bool,
     /// Expected load, in microseconds of work a second.
     pub load: Option<f64>,
     /// Where an operator wants it.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -57,6 +57,7 @@
 //!     class: ClassId(0),
 //!     key: Some(ClientKey(42)),
 //!     group: None,
+//!     returns: false,
 //!     load: None,
 //!     pin: None,
 //! };
@@ -83,6 +84,7 @@
 #![forbid(unsafe_code)]
 
 pub mod api;
+mod fleet;
 mod rules;
 mod state;
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -7,7 +7,8 @@
 use rand_pcg::Pcg32;
 
 use crate::api::*;
-use crate::state::{Books, Due, FEW_GATEWAYS, Faults, Mean, Request, Server, Tally, part, seconds};
+use crate::fleet::warmth;
+use crate::state::{Books, Due, Faults, Mean, Request, Server, Tally, part, seconds};
 
 /// First backoff step of a placement, as a part of its class's aim.
 const BASE_OF_AIM: f64 = 0.25;
@@ -21,12 +22,10 @@
 const SKIP_OVER_MEAN: f64 = 1.5;
 /// A client key's failures are forgotten after this many of the longest deadline without another.
 const FORGET_DEADLINES: u64 = 4;
-/// Time that discovery is left for each call for the list when many gateways may call, in nanoseconds.
-const LIST_CALL: Nanos = 100_000_000;
 /// Period of the housekeeping timer, in nanoseconds.
 const HOUSEKEEPING: Nanos = 1_000_000_000;
 /// Span over which this gateway's rate of placements is averaged, in seconds.
-const RATE_SECONDS: f64 = 10.0;
+pub(crate) const RATE_SECONDS: f64 = 10.0;
 /// A message that takes this part of the shortest message aim is a sign of strain.
 const STRAIN_OF_AIM: f64 = 0.33;
 /// Part of its load that a strained server is relieved of, when messages are slow and when they are late.
@@ -145,9 +144,7 @@
             self.tally.list_failures = 0;
         }
         if kind != ListKind::Changes {
-            for server in self.books.servers.values_mut() {
-                server.ready = false;
-            }
+            self.books.servers.values_mut().for_each(|server| server.ready = false);
         }
         self.books.forget_orders();
         for entry in entries {
@@ -166,7 +163,7 @@
     /// herd whose calls fail and come again together, and against one so late that old word counts as told.
     fn ask_list(&mut self, out: &mut Vec<Action>) {
         let within = self.settings.rules.ask_within.checked_sub(1).map_or(Nanos::MAX, |within| within / 2);
-        let herd = part(LIST_CALL, f64::from(self.settings.gateways) - FEW_GATEWAYS).min(within);
+        let herd = self.tally.fleet.herd(within);
         let (n, cap) = (self.tally.list_failures, self.settings.longest_deadline().min(within));
         let wait = match (n, herd) {
             (0, 0) => return out.push(Action::Watch),
@@ -177,9 +174,11 @@
     }
 
     fn count_fleet(&mut self, now: Nanos) {
+        self.books.warm_up(|entry| warmth(&self.settings.rules, entry, now));
         self.tally.weights = self.books.ready().map(|server| self.weight_here(server)).sum();
         self.tally.ready = self.books.ready().count();
-        self.tally.warm = self.books.ready().filter(|server| self.is_warm(now, server)).count();
+        self.tally.warm = self.books.ready().filter(|server| server.is_warm()).count();
+        self.tally.able = self.books.able();
     }
 
     // ---- requests ----
@@ -190,8 +189,10 @@
             return;
         }
         if !self.settings.knows(arrival.class) {
-            out.push(Action::Fail(id));
-            return;
+            return out.push(Action::Fail(id));
+        }
+        if !arrival.returns {
+            self.tally.new.add(now, 1.0, RATE_SECONDS);
         }
         if !self.tally.seen_warm {
             self.tally.warm_takes.add(now, 1.0 / self.tally.ready.max(1) as f64, RATE_SECONDS);
@@ -221,11 +222,10 @@
         }
         let Some(server) = self.next_in_turn(now, id) else { return self.back_off(now, id, out) };
         if self.wants_probe(now, &self.books.servers[&server]) {
-            return if asked < MOST_PROBES {
-                self.ask(now, id, server, out)
-            } else {
-                self.back_off(now, id, out)
-            };
+            if asked >= MOST_PROBES {
+                return self.back_off(now, id, out);
+            }
+            return self.ask(now, id, server, out);
         }
         let pace = 1.0 / self.weight_here(&self.books.servers[&server]);
         self.books.take_turn(server, pace);
@@ -235,8 +235,7 @@
 
     /// A server that tells its load when probed is asked before it is sent anything, unless it told just now.
     fn wants_probe(&self, now: Nanos, server: &Server) -> bool {
-        let limits = &self.settings.limits;
-        limits.may_probe && server.told_within(now, PROBE_HOLDS).is_none() && self.is_warm(now, server)
+        self.settings.limits.may_probe && server.is_warm() && server.told_within(now, PROBE_HOLDS).is_none()
     }
 
     /// The request waits for the server's answer, which places it anew; a timer does if none comes.
@@ -372,7 +371,8 @@
         if let Some(Pin { server: Some(to), strict }) = pin {
             // A server that failed a request that may go elsewhere gets it no second time.
             let well = strict || last != Some(to) && self.books.is_well(now, to);
-            if well && self.first_fit(now, request, [to].into_iter()).is_some() && self.admits(now, to) {
+            if well && self.first_fit(now, request, [to].into_iter()).is_some() && self.admits(now, to, false)
+            {
                 return Some(to);
             }
         }
@@ -388,7 +388,8 @@
                 Some(hand) => self.first_fit(now, request, hand.iter().copied().filter(open)),
                 None => self.first_fit(now, request, self.books.in_turn().filter(open)),
             }?;
-            if self.admits(now, next) {
+            let new = request.is_new() && hand.as_ref().map_or(passed.is_empty(), |hand| hand[0] == next);
+            if self.admits(now, next, new) {
                 return Some(next);
             }
             passed.push(next);
@@ -417,7 +418,7 @@
             if !allowed || !self.has_room(now, server, more) {
                 continue;
             }
-            let crowded = self.books.load(server) > limit * self.weight_here(server);
+            let crowded = self.books.load(server) > limit * self.weight_here(server) * server.warmth;
             let faults = Faults { ill, failed_last: request.last == Some(id), crowded };
             if faults == Faults::default() {
                 return Some(id);
@@ -429,10 +430,16 @@
         best.filter(|(faults, _)| !(faults.ill && any_well)).map(|(_, id)| id)
     }
 
-    /// The servers that may hold a group: not so many that it lies everywhere, nor too few for all of it.
+    /// The servers that may hold a group: not so many that it lies everywhere, nor too few for all of it, and
+    /// a warm one: cold ones may not take it. Those that hold most of it come first, then its own order.
+    /// Guards against opening a group away from where it already lies well; and against gateways that all put
+    /// a large group on the first of its servers: each begins at its own place among as many as it fills.
     fn hand_of(&mut self, group: GroupId) -> Vec<ServerId> {
-        let mut places = self.places_for(group);
-        places.truncate(HAND_LEAST.max(1 + self.width_of(group, 1.0) as usize));
+        let core = self.width_of(group, 0.0).max(1.0);
+        let turn = group.phase() + f64::from(self.settings.rank) / f64::from(self.settings.gateways);
+        let mut places = self.books.places_from(group, (turn.fract() * core) as usize);
+        let warm = places.iter().position(|id| self.books.servers[id].is_warm()).map_or(0, |at| at + 1);
+        places.truncate(HAND_LEAST.max(1 + self.width_of(group, 1.0) as usize).max(warm));
         places
     }
 
@@ -443,25 +450,6 @@
         self.tally.ready as f64 * (of_group + roots * of_group.sqrt()) / (all + HAND_DOUBT)
     }
 
-    /// The ready servers as a group wants them: those that hold most of it first, then its own order. Guards
-    /// against moving and opening a group away from where it already lies well; and against gateways that all
-    /// put a large group on the first of its servers: each begins at its own place among as many as it fills.
-    fn places_for(&mut self, group: GroupId) -> Vec<ServerId> {
-        let core = self.width_of(group, 0.0).max(1.0);
-        let turn = group.phase() + f64::from(self.settings.rank) / f64::from(self.settings.gateways);
-        let mut places = self.books.holders_of(group);
-        places.retain(|id| self.books.servers.get(id).is_some_and(|server| server.ready));
-        let held = places.len();
-        let order = self.books.order_of(group);
-        let first = ((turn.fract() * core) as usize).min(order.len());
-        for id in order[first..].iter().chain(&order[..first]) {
-            if !places[..held].contains(id) {
-                places.push(*id);
-            }
-        }
-        places
-    }
-
     /// Guards against a fleet that collapses under what it sheds and takes again: better to say no. Word of
     /// spare load does not overrule a ceiling: opening groups where there just was strain tips the server.
     fn has_room(&self, now: Nanos, server: &Server, more: f64) -> bool {
@@ -501,38 +489,49 @@
 
     // ---- cold servers ----
 
-    /// Share of its capacity that a server has at least, by its listed start.
-    fn warmth(&self, now: Nanos, server: &Server) -> f64 {
-        let rules = &self.settings.rules;
-        let age = now.saturating_sub(server.entry.started_at);
-        if server.entry.started_at == 0 || age >= rules.cold_time {
-            return 1.0;
-        }
-        rules.cold_share + (1.0 - rules.cold_share) * age as f64 / rules.cold_time as f64
-    }
-
-    fn is_warm(&self, now: Nanos, server: &Server) -> bool {
-        self.warmth(now, server) >= 1.0
-    }
-
     /// Whether a server takes this placement: always if warm; else by a draw, at the multiple of what it can
     /// do now and this gateway's own rate of clients on a warm server. Guards against hundreds that turn to a
     /// cold server at once: what is unused lapses after the fall time.
-    fn admits(&mut self, now: Nanos, id: ServerId) -> bool {
-        let server = &self.books.servers[&id];
-        if self.is_warm(now, server) {
+    fn admits(&mut self, now: Nanos, id: ServerId, new: bool) -> bool {
+        let (server, rules) = (&self.books.servers[&id], &self.settings.rules);
+        if server.is_warm() {
             return true;
         }
-        let span = now.saturating_sub(server.asked_cold_at).min(self.settings.rules.fall_time);
-        let multiple = self.settings.rules.tip_multiple * self.warmth(now, server);
-        let chance = multiple * seconds(span) * self.tally.warm_takes.value() / RATE_SECONDS;
+        let chance = if self.tally.fleet.is_large() && new {
+            self.tally.able.odds_of_new(rules)
+        } else if self.tally.fleet.is_large() {
+            let waited = now.saturating_sub(std::mem::replace(&mut self.tally.asked_cold_at, now));
+            self.tally.able.odds_of_again(rules, self.tally.new_per_s(now), waited)
+        } else {
+            let span = now.saturating_sub(server.asked_cold_at).min(rules.fall_time);
+            let multiple = rules.tip_multiple * server.warmth;
+            multiple * seconds(span) * self.tally.warm_takes.value() / RATE_SECONDS
+        };
         self.books.asked_cold(now, id);
         self.rng.random_range(0.0..1.0) < chance
     }
 
+    /// Moves a connection whose group now begins with a cold server, where cold ones lack what they can do.
+    /// Guards against a farm half new of which the old half keeps all that stood and came back.
+    fn fill_cold(&mut self, now: Nanos, out: &mut Vec<Action>) {
+        let rate = self.tally.able.rate_of_again(&self.settings.rules, self.tally.new_per_s(now));
+        let large = self.tally.fleet.is_large();
+        let due = large && self.rng.random_range(0.0..1.0) < rate * seconds(HOUSEKEEPING);
+        if due && self.books.lack_on_cold(&self.tally.able) > self.books.one() {
+            let led = self.books.led_to_cold();
+            let any = self.rng.random_range(0..led.len().max(1));
+            led.get(any).into_iter().for_each(|id| self.move_off(*id, out));
+        }
+    }
+
+    fn move_off(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        out.push(Action::Move(id));
+        self.books.forget(id);
+    }
+
     /// What stands on warm servers tells what one takes: cold ones lower it, and failed attempts raise it.
     fn count_warm(&mut self, now: Nanos, at: ServerId) {
-        if self.is_warm(now, &self.books.servers[&at]) {
+        if self.books.servers[&at].is_warm() {
             self.tally.seen_warm = true;
             self.tally.warm_takes.add(now, 1.0 / self.tally.warm.max(1) as f64, RATE_SECONDS);
         }
@@ -551,7 +550,7 @@
     /// A sign that a server has too much: it takes nothing new before it holds less than it does now.
     fn strain(&mut self, now: Nanos, id: ServerId, relief: f64) {
         let Some(load) = self.books.load_at(id) else { return };
-        let one = self.books.load_of_all() / self.books.requests.len().max(1) as f64;
+        let one = self.books.one();
         let Some(server) = self.books.servers.get_mut(&id) else { return };
         if !server.strained_within(now, CALM) {
             server.tipped_at = load;
@@ -575,20 +574,21 @@
                 return;
             }
             excess -= load;
-            out.push(Action::Move(moved));
-            self.books.forget(moved);
+            self.move_off(moved, out);
         }
     }
 
     /// Moves a heavy connection off each server that holds far more than this gateway's mean for its weight.
     /// Guards against servers that tell nothing of their strain, and connections that outlast the rotation.
     fn even_out(&mut self, out: &mut Vec<Action>) {
-        let over = 1.0 + EVEN_EXCESS * (f64::from(self.settings.gateways) / FEW_GATEWAYS).max(1.0);
-        let limit = over * self.books.load_of_all() / self.tally.weights.max(f64::MIN_POSITIVE);
+        let limit =
+            (1.0 + EVEN_EXCESS) * self.books.load_of_all() / self.tally.weights.max(f64::MIN_POSITIVE);
+        // Guards against hundreds that see their two or three connections on one server as far over the mean.
+        let few = if self.tally.fleet.is_large() { FEW_HELD * self.books.one() } else { 0.0 };
         let seen = |server: &Server| (server.entry.server, self.books.load(server), server.weight_to_come());
         let loads: Vec<(ServerId, f64, f64)> = self.books.ready().map(seen).collect();
         for &(id, load, weight) in &loads {
-            if load <= limit * weight {
+            if load <= limit * weight + few {
                 continue;
             }
             // The heaviest that, wherever it goes, leaves that server with less than this one has now.
@@ -601,8 +601,7 @@
             let free = |id: &RequestId| self.books.requests[id].arrival.pin.is_none();
             let heavy = self.books.heaviest_at(id).into_iter().find(|(more, id)| fits(*more) && free(id));
             if let Some((_, moved)) = heavy.filter(|(more, _)| *more >= EVEN_LEAST * load) {
-                out.push(Action::Move(moved));
-                self.books.forget(moved);
+                self.move_off(moved, out);
             }
         }
     }
@@ -615,10 +614,7 @@
         for id in leaving.collect::<Vec<ServerId>>() {
             let there = self.books.heaviest_at(id);
             let count = there.len().div_ceil(2).max(LEAVING_LEAST);
-            for (_, moved) in there.into_iter().take(count) {
-                out.push(Action::Move(moved));
-                self.books.forget(moved);
-            }
+            there.into_iter().take(count).for_each(|(_, moved)| self.move_off(moved, out));
         }
     }
 
@@ -679,6 +675,7 @@
                 self.count_fleet(now);
                 self.raise_ceilings(now);
                 self.even_out(out);
+                self.fill_cold(now, out);
                 self.empty_leaving(out);
                 self.watch_fleet(now);
                 out.extend(self.books.trouble(now, &mut self.tally).map(Action::Log));
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::api::*;
+use crate::fleet::{Able, Fleet};
+use crate::rules::RATE_SECONDS;
 
 /// Group orders kept at once, so that memory stays bounded.
 const MOST_ORDERS: usize = 1024;
@@ -42,6 +44,8 @@
     pub(crate) held_until: Nanos,
     /// What it last answered to a probe.
     pub(crate) told: Option<Told>,
+    /// Share of its capacity that it has at least, when last counted.
+    pub(crate) warmth: f64,
     /// When it was last asked, while cold, whether it takes a placement.
     pub(crate) asked_cold_at: Nanos,
 }
@@ -142,6 +146,12 @@
     pub(crate) list_failures: u32,
     /// Sum of the weights of all ready servers.
     pub(crate) weights: f64,
+    pub(crate) fleet: Fleet,
+    pub(crate) able: Able,
+    /// Clients that came here for the first time, lately.
+    pub(crate) new: FadingCount,
+    /// When one that came again was last held against a cold server's odds.
+    pub(crate) asked_cold_at: Nanos,
     /// Clients that came to stand here, for each warm server, lately; as long as none has, the arrivals for
     /// each server stand in.
     pub(crate) warm_takes: FadingCount,
@@ -155,7 +165,12 @@
 impl Tally {
     /// The counts of one of so many gateways.
     pub(crate) fn of(gateways: u32) -> Tally {
-        Tally { window: Window::of(gateways), ..Tally::default() }
+        Tally { fleet: Fleet::of(gateways), window: Window::of(gateways), ..Tally::default() }
+    }
+
+    /// The rate at which clients have come here for the first time, by the second.
+    pub(crate) fn new_per_s(&self, now: Nanos) -> f64 {
+        self.new.at(now, RATE_SECONDS) / RATE_SECONDS
     }
 }
 
@@ -173,9 +188,6 @@
 const MOST_WINDOW: f64 = 48.0;
 /// A set-up that takes less than this part of its aim did not have to wait.
 const EASY_OF_AIM: f64 = 0.5;
-/// More gateways than so many share their windows, and see only a part of a server's load. Guards against dozens of which each, at its least, still keeps
-/// what the servers share overrun for all.
-pub(crate) const FEW_GATEWAYS: f64 = 3.0;
 /// What is left of a window after failures, which count once within the span, in nanoseconds.
 const WINDOW_CUT: f64 = 0.6;
 const CUT_PERIOD: Nanos = 150_000_000;
@@ -189,9 +201,9 @@
 impl Window {
     /// The window of one of so many gateways.
     pub(crate) fn of(gateways: u32) -> Window {
-        let part = (FEW_GATEWAYS / f64::from(gateways)).min(1.0);
+        let fleet = Fleet::of(gateways);
         let [size, least, most] =
-            [FIRST_WINDOW, LEAST_WINDOW, MOST_WINDOW].map(|size| (size * part).max(1.0));
+            [FIRST_WINDOW, LEAST_WINDOW, MOST_WINDOW].map(|size| fleet.part(size).max(1.0));
         Window { size, least, most, cut_at: None }
     }
 
@@ -383,13 +395,28 @@
     }
 
     /// The servers that hold any of a group for this gateway, the one with the most of it first.
-    pub(crate) fn holders_of(&self, group: GroupId) -> Vec<ServerId> {
+    fn holders_of(&self, group: GroupId) -> Vec<ServerId> {
         let Some(places) = self.groups.get(&group) else { return Vec::new() };
         let mut held: Vec<(u32, ServerId)> = places.iter().map(|(id, count)| (*count, *id)).collect();
         held.sort_by(|one, other| other.0.cmp(&one.0).then(one.1.cmp(&other.1)));
         held.into_iter().map(|(_, id)| id).collect()
     }
 
+    /// The ready servers: those that hold any of a group, then the others in its own order from a place on.
+    pub(crate) fn places_from(&mut self, group: GroupId, first: usize) -> Vec<ServerId> {
+        let mut places = self.holders_of(group);
+        places.retain(|id| self.is_ready(*id));
+        let held = places.len();
+        let order = self.order_of(group);
+        let (before, after) = order.split_at(first.min(order.len()));
+        for id in after.iter().chain(before) {
+            if !places[..held].contains(id) {
+                places.push(*id);
+            }
+        }
+        places
+    }
+
     /// Counts a request of a group or of none; what lies far back fades.
     fn see(&mut self, group: Option<GroupId>) {
         if let Some(group) = group {
@@ -408,6 +435,54 @@
         (self.seen.get(&group).copied().unwrap_or(0.0), self.seen_in_all)
     }
 
+    /// Notes how warm servers are; groups' orders follow.
+    pub(crate) fn warm_up(&mut self, warmth: impl Fn(&Entry) -> f64) {
+        for server in self.servers.values_mut() {
+            let now = warmth(&server.entry);
+            if now != server.warmth {
+                server.warmth = now;
+                self.orders.clear();
+            }
+        }
+    }
+
+    /// What the ready servers can do.
+    pub(crate) fn able(&self) -> Able {
+        let mut able = Able::default();
+        self.ready().for_each(|server| able.add(server.weight(), server.warmth));
+        able
+    }
+
+    /// What this gateway's part on cold servers, by what they can do, has more than it holds there.
+    pub(crate) fn lack_on_cold(&self, able: &Able) -> f64 {
+        let cold = self.ready().filter(|server| !server.is_warm());
+        let held: f64 = cold.map(|server| self.load(server)).sum();
+        self.load_of_all() * able.cold / able.now.max(f64::MIN_POSITIVE) - held
+    }
+
+    /// The connections that stand at warm servers though their groups begin with cold ones, or that have no group.
+    pub(crate) fn led_to_cold(&mut self) -> Vec<RequestId> {
+        let standing = self.requests.iter().filter_map(|(id, request)| match request.phase {
+            Phase::Standing(at) => Some((*id, at, request.arrival.group)),
+            _ => None,
+        });
+        let standing: Vec<(RequestId, ServerId, Option<GroupId>)> = standing.collect();
+        let is_warm = |books: &Books, at: &ServerId| books.servers.get(at).is_some_and(Server::is_warm);
+        let mut led = Vec::new();
+        for (id, at, group) in standing {
+            let first = group.and_then(|group| self.order_of(group).first().copied());
+            if is_warm(self, &at) && !first.is_some_and(|first| is_warm(self, &first)) {
+                led.push(id);
+            }
+        }
+        led
+    }
+
+    /// What one connection asks for, on average.
+    pub(crate) fn one(&self) -> f64 {
+        self.load_of_all() / self.requests.len().max(1) as f64
+    }
+
     /// To be called after every change of the list.
     pub(crate) fn forget_orders(&mut self) {
         self.orders.clear();
@@ -652,6 +727,13 @@
     }
 }
 
+impl Request {
+    /// Its client comes for the first time, and it has not waited.
+    pub(crate) fn is_new(&self) -> bool {
+        !self.arrival.returns && self.attempts == 0 && self.timer.is_none()
+    }
+}
+
 impl Server {
     fn new(entry: Entry, classes: usize) -> Server {
         Server {
@@ -669,6 +751,7 @@
             held_until: 0,
             told: None,
             asked_cold_at: 0,
+            warmth: 1.0,
         }
     }
 
@@ -684,6 +767,11 @@
         self.entry.rises_to.unwrap_or_else(|| self.weight())
     }
 
+    /// Whether it can do all that it ever can.
+    pub(crate) fn is_warm(&self) -> bool {
+        self.warmth >= 1.0
+    }
+
     /// Whether it said, that lately, that it is full.
     pub(crate) fn told_within(&self, now: Nanos, span: Nanos) -> Option<bool> {
         self.told.filter(|told| now < told.at.saturating_add(span)).map(|told| told.full)
@@ -700,7 +788,7 @@
         mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
         mixed ^= mixed >> 31;
         let luck = ((mixed >> 11) + 1) as f64 / (1_u64 << 53) as f64;
-        -luck.ln() / self.weight()
+        -luck.ln() / (self.weight() * self.warmth)
     }
 }
 
@@ -741,14 +829,18 @@
 impl FadingCount {
     /// Adds to the count, after what was counted has faded over `span` seconds.
     pub(crate) fn add(&mut self, now: Nanos, amount: f64, span: f64) {
-        let passed = seconds(now.saturating_sub(self.at));
-        self.value = self.value * (-passed / span).exp() + amount;
+        self.value = self.at(now, span) + amount;
         self.at = now;
     }
 
     pub(crate) fn value(&self) -> f64 {
         self.value
     }
+
+    /// The count as it has faded by now.
+    fn at(&self, now: Nanos, span: f64) -> f64 {
+        self.value * (-seconds(now.saturating_sub(self.at)) / span).exp()
+    }
 }
 
 /// Whether something happened, and not longer than `span` ago.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -71,6 +71,7 @@
         class: ClassId(class),
         key: Some(ClientKey(request)),
         group: None,
+        returns: false,
         load: None,
         pin: None,
     }
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,181 @@
+//! Whole fleets of the real module on one virtual clock: what each does alone adds up, and the sum keeps the rules.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use common::*;
+
+use beaconflow::api::*;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+
+const SERVERS: u32 = 20;
+/// New clients of the whole fleet in each step of a tenth of a second, and the steps that each stays.
+const NEW: usize = 6;
+const STAY: u64 = 250;
+const STEP: Nanos = 100 * MS;
+
+struct Fleet {
+    gateways: Vec<Gateway>,
+    rng: Pcg32,
+    next: u64,
+    /// Each standing client: its gateway, its server, the step it ends at and its group.
+    standing: BTreeMap<u64, (usize, ServerId, u64, GroupId)>,
+    /// Each attempt: the step and the server.
+    sent: Vec<(u64, ServerId)>,
+    moved: usize,
+    step: u64,
+}
+
+impl Fleet {
+    fn of(gateways: u32) -> Fleet {
+        let one = |rank| {
+            let settings = Settings { gateways, rank, ..settings() };
+            let mut gateway = Gateway::with_servers(settings.clone(), SERVERS);
+            let seed = 7 + u64::from(rank);
+            gateway.balancer = beaconflow::Balancer::new(settings, seed).expect("the settings are in range");
+            gateway.list(ListKind::Full, (0..SERVERS).map(entry).collect());
+            gateway
+        };
+        Fleet {
+            gateways: (0..gateways).map(one).collect(),
+            rng: Pcg32::seed_from_u64(5),
+            next: 0,
+            standing: BTreeMap::new(),
+            sent: Vec::new(),
+            moved: 0,
+            step: 0,
+        }
+    }
+
+    /// A client comes to some gateway: one in seven of them has five times the traffic of the others.
+    fn come(&mut self, returns: bool, group: GroupId, ends: u64) {
+        let of = self.gateways.len();
+        let any = self.rng.random_range(0..of);
+        let at = if self.rng.random_range(0.0..1.0) < 0.4 { any - any % 7 } else { any };
+        self.next += 1;
+        let now = self.gateways[at].now;
+        let arrival = Arrival { returns, group: Some(group), ..arrival(self.next, SAFE, now) };
+        let actions = self.gateways[at].tell(Event::Arrived(arrival));
+        self.follow(at, &actions, (group, ends));
+    }
+
+    fn follow(&mut self, at: usize, actions: &[Action], client: (GroupId, u64)) {
+        for action in actions {
+            match action {
+                Action::Attempt { request, server, .. } => {
+                    self.sent.push((self.step, *server));
+                    self.gateways[at].establish(request.0, 0);
+                    self.standing.insert(request.0, (at, *server, client.1, client.0));
+                }
+                Action::Move(request) => {
+                    self.moved += 1;
+                    let (_, _, ends, group) = self.standing.remove(&request.0).expect("it stands");
+                    self.come(true, group, ends);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// One step: clients end, new ones come, timers fire.
+    fn pass(&mut self) {
+        self.step += 1;
+        let over: Vec<u64> =
+            self.standing.iter().filter(|(_, one)| one.2 <= self.step).map(|(id, _)| *id).collect();
+        for id in over {
+            let (at, ..) = self.standing.remove(&id).expect("it stands");
+            self.gateways[at].close(id, 0, Outcome::Served);
+        }
+        for _ in 0..NEW {
+            let group = GroupId(self.rng.random_range(0_u64..400).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+            self.come(false, group, self.step + STAY);
+        }
+        for at in 0..self.gateways.len() {
+            let actions = self.gateways[at].pass(STEP);
+            let group = GroupId(self.next);
+            self.follow(at, &actions, (group, self.step + STAY));
+        }
+    }
+
+    /// The servers from `first` on are started anew within one step, and all clients there come again.
+    fn restart(&mut self, first: u32) {
+        let now = self.gateways[0].now;
+        let anew: Vec<Entry> = (first..SERVERS).map(|id| Entry { started_at: now, ..entry(id) }).collect();
+        let gone: Vec<u64> =
+            self.standing.iter().filter(|(_, one)| one.1.0 >= first).map(|(id, _)| *id).collect();
+        let mut again = Vec::new();
+        for id in gone {
+            let (at, _, ends, group) = self.standing.remove(&id).expect("it stands");
+            self.gateways[at].close(id, 0, Outcome::Cancelled);
+            again.push((group, ends));
+        }
+        for gateway in &mut self.gateways {
+            gateway.list(ListKind::Changes, anew.clone());
+        }
+        for (group, ends) in again {
+            self.come(true, group, ends);
+        }
+    }
+
+    fn share_from(&self, first: u32) -> f64 {
+        self.standing.values().filter(|one| one.1.0 >= first).count() as f64 / self.standing.len() as f64
+    }
+}
+
+/// A farm bears its new clients with two thirds of what it can do or less, so 1.5 here is what tips cold servers.
+/// The most sent to one server, and to all from `first` on, over what tips them within any fall time.
+fn strain_of_cold(fleet: &Fleet, first: u32, since: u64) -> (f64, f64) {
+    let rules = settings().rules;
+    let fall = rules.fall_time / STEP;
+    let (mut one, mut all) = (0.0_f64, 0.0_f64);
+    for start in since..fleet.step - fall {
+        let age = ((start - since) * STEP) as f64 / rules.cold_time as f64;
+        let warmth = rules.cold_share + (1.0 - rules.cold_share) * age.min(1.0);
+        // A farm that bears its new clients can take so many on each server, at least.
+        let bears = NEW as f64 * fall as f64 / f64::from(SERVERS) * rules.tip_multiple * warmth;
+        let within = |step: u64| (start..start + fall).contains(&step);
+        let to = |of: &dyn Fn(u32) -> bool| {
+            fleet.sent.iter().filter(|(step, id)| within(*step) && of(id.0)).count() as f64
+        };
+        all = all.max(to(&|id| id >= first) / (bears * f64::from(SERVERS - first)));
+        for id in first..SERVERS {
+            one = one.max((to(&|other| other == id) - 3.0 * bears.sqrt()) / bears);
+        }
+    }
+    (one, all)
+}
+
+#[test]
+fn half_a_farm_that_is_cold_at_once_is_neither_overrun_nor_left_out() {
+    for gateways in [3, 48, 300] {
+        let mut fleet = Fleet::of(gateways);
+        (0..300).for_each(|_| fleet.pass());
+        let (first, since) = (SERVERS / 2, fleet.step);
+        fleet.restart(first);
+        (0..150).for_each(|_| fleet.pass());
+        let (one, all) = strain_of_cold(&fleet, first, since);
+        assert!(all <= 1.5, "{gateways} gateways: {all} of what tips the cold half");
+        assert!(one <= 1.0, "{gateways} gateways: {one} of what tips one cold server, by more than chance");
+        let share = fleet.share_from(first);
+        assert!(share > 0.2, "{gateways} gateways: the cold half, 0.8 warm, holds {share} of all after 15 s");
+    }
+}
+
+#[test]
+fn in_a_large_fleet_two_or_three_connections_on_one_server_are_no_reason_to_move_any() {
+    let mut fleet = Fleet::of(300);
+    (0..300).for_each(|_| fleet.pass());
+    assert_eq!(fleet.moved, 0, "on a farm with nothing wrong");
+}
+
+#[test]
+fn a_group_that_begins_with_cold_servers_goes_to_a_warm_one_at_once() {
+    let mut fleet = Fleet::of(300);
+    fleet.restart(2);
+    for group in 0..200 {
+        fleet.come(true, GroupId(group), 100);
+    }
+    assert_eq!(fleet.standing.len(), 200, "of 200 with two warm servers of twenty");
+}
