--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -179,3 +179,23 @@
     }
     assert_eq!(fleet.standing.len(), 200, "of 200 with two warm servers of twenty");
 }
+
+#[test]
+fn odd_farms_and_counts_are_served_safely() {
+    let mut none = Settings { gateways: 0, ..settings() };
+    assert_eq!(none.check().expect_err("no gateway").to_string(), "setting out of range: gateways");
+    none.gateways = u32::MAX;
+    let mut gateway = Gateway::with_servers(none, 0);
+    assert!(attempts(&gateway.arrive(1, SAFE)).is_empty(), "there is no server");
+    gateway.pass(5 * SECOND);
+    // Named twice, it is one server; started in the future, it is as cold as any.
+    let ahead = |id| Entry { started_at: gateway.now + 60 * SECOND, ..entry(id) };
+    let doubled = vec![entry(0), ahead(1), ahead(1), entry(0)];
+    gateway.list(ListKind::Full, doubled);
+    let placed = attempts(&gateway.stream(10..60, 100 * MS));
+    let on_cold = placed.iter().filter(|id| id.0 == 1).count();
+    assert!(placed.len() >= 40 && on_cold <= 15, "{on_cold} of {} on the cold one", placed.len());
+    // A farm that is gone altogether costs answers and no panic.
+    gateway.list(ListKind::Full, Vec::new());
+    assert!(attempts(&gateway.stream(100..120, 100 * MS)).is_empty());
+}
