--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -199,3 +199,25 @@
     gateway.list(ListKind::Full, Vec::new());
     assert!(attempts(&gateway.stream(100..120, 100 * MS)).is_empty());
 }
+
+#[test]
+fn gateways_that_all_start_with_one_list_spread_their_first_picks_by_weight() {
+    let mut picks = BTreeMap::new();
+    for rank in 0..300 {
+        let settings = Settings { gateways: 300, rank, ..settings() };
+        let mut gateway = Gateway::new(settings.clone());
+        gateway.balancer = beaconflow::Balancer::new(settings, 900 + u64::from(rank)).expect("in range");
+        let weighed = |id: u32| Entry { weight: f64::from(1 + 2 * (id % 2)), ..entry(id) };
+        gateway.list(ListKind::Full, (0..SERVERS).map(weighed).collect());
+        for server in attempts(&gateway.arrive(1, SAFE)) {
+            *picks.entry(server).or_insert(0_u32) += 1;
+        }
+    }
+    assert_eq!(picks.values().sum::<u32>(), 300);
+    for (server, count) in picks {
+        // 300 over a sum of weights of 40, three standard deviations to each side.
+        let due = 7.5 * f64::from(1 + 2 * (server.0 % 2));
+        let off = (f64::from(count) - due).abs();
+        assert!(off <= 3.0 * due.sqrt(), "{count} of {due} due on {server:?}");
+    }
+}
