--- a/balancer/src/core/admit.rs
+++ b/balancer/src/core/admit.rs
@@ -4,11 +4,10 @@
 use std::time::Duration;
 
 use beaconflow::api;
+use tracing::debug;
 
 use crate::clock::nanos;
 
-use tracing::debug;
-
 use super::{Carrier, Core, Due, HELD_PATIENCE, HELD_RETRY, Opening, Order};
 
 impl Core {
--- a/balancer/src/core/mod.rs
+++ b/balancer/src/core/mod.rs
@@ -516,7 +516,7 @@
     fn established(&mut self, id: u64) {
         let now = self.clock.now();
         let Some(Stands { attempt, server, held, class, took }) = self.ledger.stands(id, now) else { return };
-        debug!(part = self.name, transaction = id, held, took_ms = took / 1_000_000, "stands");
+        debug!(part = self.name, transaction = id, held, took = ?Duration::from_nanos(took), "stands");
         if held {
             let Some(arrival) = self.ledger.restart(id) else { return };
             self.decide(api::Event::Standing { arrival, server });
@@ -529,7 +529,7 @@
 
     fn ended(&mut self, id: u64, outcome: Outcome, took: Duration) {
         let Some(ended) = self.ledger.ended(id, outcome) else { return };
-        debug!(part = self.name, transaction = id, stood = ended.stood, outcome = ?outcome, took_ms = took.as_millis(), "pass ended");
+        debug!(part = self.name, transaction = id, stood = ended.stood, ?outcome, ?took, "pass ended");
         if ended.held {
             let name = self.ledger.get(id).and_then(|transaction| transaction.opening.held_by.as_deref());
             let name = name.unwrap_or_default();
--- a/balancer/src/core/route.rs
+++ b/balancer/src/core/route.rs
@@ -39,10 +39,9 @@
         match action {
             Action::Attempt { request, server, timeout } => match self.farm.get(server) {
                 Some(to) => {
-                    let key = self.ledger.get(request.0).and_then(|transaction| transaction.opening.key);
-                    debug!(part = self.name, transaction = request.0, key, server = %to.name, within_ms = timeout / 1_000_000, "pass");
-                    let (now, order) =
-                        (self.clock.now(), Order::Pass { to, within: Duration::from_nanos(timeout) });
+                    let within = Duration::from_nanos(timeout);
+                    debug!(part = self.name, transaction = request.0, server = %to.name, ?within, "pass");
+                    let (now, order) = (self.clock.now(), Order::Pass { to, within });
                     if let Some((entry, waited)) = self.ledger.pass(request.0, server, order, now) {
                         self.gate.admitted(now, &entry, waited);
                     }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -2,14 +2,14 @@
 //! they are odds. Nothing is rounded up here, since hundreds that each round up keep no bound together.
 
 use crate::api::{Entry, Nanos, Rules};
-use crate::state::{part, seconds};
+use crate::span::{part, seconds};
 
 /// Allowances were found with so many gateways: fewer have all of them each, more share them.
 const FEW_GATEWAYS: f64 = 3.0;
 /// Time that discovery is left for each call for the list when many gateways may call, in nanoseconds.
 const LIST_CALL: Nanos = 100_000_000;
-/// Parts of what tips cold servers that new clients may use, and those that come again. What tips them is counted by
-/// the new clients that the farm bears, which is the least that it can do.
+/// Parts of what tips cold servers that new clients may use, and those that come again, who may have saved up as much
+/// again. What tips them is counted by the new clients that the farm bears: it can do more, and the sum may be over one.
 const NEW_PART: f64 = 0.6;
 const AGAIN_PART: f64 = 0.6;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -86,6 +86,7 @@
 pub mod api;
 mod fleet;
 mod rules;
+mod span;
 mod state;
 
 pub use rules::Balancer;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -8,7 +8,8 @@
 
 use crate::api::*;
 use crate::fleet::warmth;
-use crate::state::{Books, Due, Faults, Mean, Request, Server, Tally, part, seconds};
+use crate::span::{part, seconds};
+use crate::state::{Books, Due, Faults, Mean, Request, Server, Tally};
 
 /// First backoff step of a placement, as a part of its class's aim.
 const BASE_OF_AIM: f64 = 0.25;
@@ -25,7 +26,7 @@
 /// Period of the housekeeping timer, in nanoseconds.
 const HOUSEKEEPING: Nanos = 1_000_000_000;
 /// Span over which this gateway's rate of placements is averaged, in seconds.
-pub(crate) const RATE_SECONDS: f64 = 10.0;
+const RATE_SECONDS: f64 = 10.0;
 /// A message that takes this part of the shortest message aim is a sign of strain.
 const STRAIN_OF_AIM: f64 = 0.33;
 /// Part of its load that a strained server is relieved of, when messages are slow and when they are late.
@@ -501,7 +502,7 @@
             self.tally.able.odds_of_new(rules)
         } else if self.tally.fleet.is_large() {
             let waited = now.saturating_sub(std::mem::replace(&mut self.tally.asked_cold_at, now));
-            self.tally.able.odds_of_again(rules, self.tally.new_per_s(now), waited)
+            self.tally.able.odds_of_again(rules, self.tally.new_per_s(now, RATE_SECONDS), waited)
         } else {
             let span = now.saturating_sub(server.asked_cold_at).min(rules.fall_time);
             let multiple = rules.tip_multiple * server.warmth;
@@ -514,7 +515,8 @@
     /// Moves a connection whose group now begins with a cold server, where cold ones lack what they can do.
     /// Guards against a farm half new of which the old half keeps all that stood and came back.
     fn fill_cold(&mut self, now: Nanos, out: &mut Vec<Action>) {
-        let rate = self.tally.able.rate_of_again(&self.settings.rules, self.tally.new_per_s(now));
+        let rate =
+            self.tally.able.rate_of_again(&self.settings.rules, self.tally.new_per_s(now, RATE_SECONDS));
         let large = self.tally.fleet.is_large();
         let due = large && self.rng.random_range(0.0..1.0) < rate * seconds(HOUSEKEEPING);
         if due && self.books.lack_on_cold(&self.tally.able) > self.books.one() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,7 +4,7 @@
 
 use crate::api::*;
 use crate::fleet::{Able, Fleet};
-use crate::rules::RATE_SECONDS;
+use crate::span::{part, seconds};
 
 /// Group orders kept at once, so that memory stays bounded.
 const MOST_ORDERS: usize = 1024;
@@ -168,9 +168,9 @@
         Tally { fleet: Fleet::of(gateways), window: Window::of(gateways), ..Tally::default() }
     }
 
-    /// The rate at which clients have come here for the first time, by the second.
-    pub(crate) fn new_per_s(&self, now: Nanos) -> f64 {
-        self.new.at(now, RATE_SECONDS) / RATE_SECONDS
+    /// The rate at which clients have come here for the first time, by the second, over `span` seconds.
+    pub(crate) fn new_per_s(&self, now: Nanos, span: f64) -> f64 {
+        self.new.at(now, span) / span
     }
 }
 
@@ -462,20 +462,16 @@
 
     /// The connections that stand at warm servers though their groups begin with cold ones, or that have no group.
     pub(crate) fn led_to_cold(&mut self) -> Vec<RequestId> {
-        let standing = self.requests.iter().filter_map(|(id, request)| match request.phase {
-            Phase::Standing(at) => Some((*id, at, request.arrival.group)),
+        let on_warm = |(id, request): (&RequestId, &Request)| match request.phase {
+            Phase::Standing(at) if self.servers.get(&at)?.is_warm() => Some((*id, request.arrival.group)),
             _ => None,
-        });
-        let standing: Vec<(RequestId, ServerId, Option<GroupId>)> = standing.collect();
-        let is_warm = |books: &Books, at: &ServerId| books.servers.get(at).is_some_and(Server::is_warm);
-        let mut led = Vec::new();
-        for (id, at, group) in standing {
+        };
+        let mut led: Vec<(RequestId, Option<GroupId>)> = self.requests.iter().filter_map(on_warm).collect();
+        led.retain(|(_, group)| {
             let first = group.and_then(|group| self.order_of(group).first().copied());
-            if is_warm(self, &at) && !first.is_some_and(|first| is_warm(self, &first)) {
-                led.push(id);
-            }
-        }
-        led
+            first.is_none_or(|first| !self.servers[&first].is_warm())
+        });
+        led.into_iter().map(|(id, _)| id).collect()
     }
 
     /// What one connection asks for, on average.
@@ -847,13 +843,3 @@
 fn within(at: Option<Nanos>, now: Nanos, span: Nanos) -> bool {
     at.is_some_and(|at| now < at.saturating_add(span))
 }
-
-/// A part of a span of time.
-pub(crate) fn part(span: Nanos, share: f64) -> Nanos {
-    (span as f64 * share) as Nanos
-}
-
-/// A span of time in seconds.
-pub(crate) fn seconds(span: Nanos) -> f64 {
-    span as f64 / 1e9
-}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -19,83 +19,82 @@
 struct Fleet {
     gateways: Vec<Gateway>,
     rng: Pcg32,
-    next: u64,
-    /// Each standing client: its gateway, its server, the step it ends at and its group.
-    standing: BTreeMap<u64, (usize, ServerId, u64, GroupId)>,
+    /// Each client's group and the step it ends at; its id is its place.
+    clients: Vec<(GroupId, u64)>,
+    /// Where each standing client is.
+    standing: BTreeMap<u64, (usize, ServerId)>,
     /// Each attempt: the step and the server.
     sent: Vec<(u64, ServerId)>,
     moved: usize,
     step: u64,
 }
 
+/// One gateway of a fleet, with a seed of its own.
+fn one_of(gateways: u32, rank: u32, servers: Vec<Entry>) -> Gateway {
+    let settings = Settings { gateways, rank, ..settings() };
+    let mut gateway = Gateway::new(settings.clone());
+    gateway.balancer = beaconflow::Balancer::new(settings, 7 + u64::from(rank)).expect("in range");
+    gateway.list(ListKind::Full, servers);
+    gateway
+}
+
 impl Fleet {
     fn of(gateways: u32) -> Fleet {
-        let one = |rank| {
-            let settings = Settings { gateways, rank, ..settings() };
-            let mut gateway = Gateway::with_servers(settings.clone(), SERVERS);
-            let seed = 7 + u64::from(rank);
-            gateway.balancer = beaconflow::Balancer::new(settings, seed).expect("the settings are in range");
-            gateway.list(ListKind::Full, (0..SERVERS).map(entry).collect());
-            gateway
-        };
-        Fleet {
-            gateways: (0..gateways).map(one).collect(),
-            rng: Pcg32::seed_from_u64(5),
-            next: 0,
-            standing: BTreeMap::new(),
-            sent: Vec::new(),
-            moved: 0,
-            step: 0,
-        }
+        let servers: Vec<Entry> = (0..SERVERS).map(entry).collect();
+        let (rng, clients) = (Pcg32::seed_from_u64(5), Vec::new());
+        let gateways = (0..gateways).map(|rank| one_of(gateways, rank, servers.clone())).collect();
+        Fleet { gateways, rng, clients, standing: BTreeMap::new(), sent: Vec::new(), moved: 0, step: 0 }
     }
 
     /// A client comes to some gateway: one in seven of them has five times the traffic of the others.
-    fn come(&mut self, returns: bool, group: GroupId, ends: u64) {
-        let of = self.gateways.len();
-        let any = self.rng.random_range(0..of);
+    fn come(&mut self, returns: bool, client: (GroupId, u64)) {
+        let any = self.rng.random_range(0..self.gateways.len());
         let at = if self.rng.random_range(0.0..1.0) < 0.4 { any - any % 7 } else { any };
-        self.next += 1;
-        let now = self.gateways[at].now;
-        let arrival = Arrival { returns, group: Some(group), ..arrival(self.next, SAFE, now) };
+        let (id, now) = (self.clients.len() as u64, self.gateways[at].now);
+        self.clients.push(client);
+        let arrival = Arrival { returns, group: Some(client.0), ..arrival(id, SAFE, now) };
         let actions = self.gateways[at].tell(Event::Arrived(arrival));
-        self.follow(at, &actions, (group, ends));
+        self.follow(at, actions);
     }
 
-    fn follow(&mut self, at: usize, actions: &[Action], client: (GroupId, u64)) {
+    fn follow(&mut self, at: usize, actions: Vec<Action>) {
         for action in actions {
-            match action {
-                Action::Attempt { request, server, .. } => {
-                    self.sent.push((self.step, *server));
-                    self.gateways[at].establish(request.0, 0);
-                    self.standing.insert(request.0, (at, *server, client.1, client.0));
-                }
-                Action::Move(request) => {
-                    self.moved += 1;
-                    let (_, _, ends, group) = self.standing.remove(&request.0).expect("it stands");
-                    self.come(true, group, ends);
-                }
-                _ => {}
+            if let Action::Attempt { request, server, .. } = action {
+                self.sent.push((self.step, server));
+                self.gateways[at].establish(request.0, 0);
+                self.standing.insert(request.0, (at, server));
+            } else if let Action::Move(request) = action {
+                self.moved += 1;
+                self.standing.remove(&request.0).expect("it stands");
+                self.come(true, self.clients[request.0 as usize]);
             }
         }
     }
 
+    /// Ends the standing clients of which that is so.
+    fn end(&mut self, outcome: Outcome, which: impl Fn(ServerId, u64) -> bool) -> Vec<(GroupId, u64)> {
+        let over = |id: &u64, at: &(usize, ServerId)| which(at.1, self.clients[*id as usize].1);
+        let over: Vec<u64> =
+            self.standing.iter().filter(|(id, at)| over(id, at)).map(|(id, _)| *id).collect();
+        for id in &over {
+            let (at, _) = self.standing.remove(id).expect("it stands");
+            self.gateways[at].close(*id, 0, outcome);
+        }
+        over.into_iter().map(|id| self.clients[id as usize]).collect()
+    }
+
     /// One step: clients end, new ones come, timers fire.
     fn pass(&mut self) {
         self.step += 1;
-        let over: Vec<u64> =
-            self.standing.iter().filter(|(_, one)| one.2 <= self.step).map(|(id, _)| *id).collect();
-        for id in over {
-            let (at, ..) = self.standing.remove(&id).expect("it stands");
-            self.gateways[at].close(id, 0, Outcome::Served);
-        }
+        let step = self.step;
+        self.end(Outcome::Served, |_, ends| ends <= step);
         for _ in 0..NEW {
-            let group = GroupId(self.rng.random_range(0_u64..400).wrapping_mul(0x9e37_79b9_7f4a_7c15));
-            self.come(false, group, self.step + STAY);
+            let group = self.rng.random_range(0_u64..400).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            self.come(false, (GroupId(group), step + STAY));
         }
         for at in 0..self.gateways.len() {
             let actions = self.gateways[at].pass(STEP);
-            let group = GroupId(self.next);
-            self.follow(at, &actions, (group, self.step + STAY));
+            self.follow(at, actions);
         }
     }
 
@@ -103,29 +102,18 @@
     fn restart(&mut self, first: u32) {
         let now = self.gateways[0].now;
         let anew: Vec<Entry> = (first..SERVERS).map(|id| Entry { started_at: now, ..entry(id) }).collect();
-        let gone: Vec<u64> =
-            self.standing.iter().filter(|(_, one)| one.1.0 >= first).map(|(id, _)| *id).collect();
-        let mut again = Vec::new();
-        for id in gone {
-            let (at, _, ends, group) = self.standing.remove(&id).expect("it stands");
-            self.gateways[at].close(id, 0, Outcome::Cancelled);
-            again.push((group, ends));
-        }
-        for gateway in &mut self.gateways {
-            gateway.list(ListKind::Changes, anew.clone());
-        }
-        for (group, ends) in again {
-            self.come(true, group, ends);
-        }
+        let again = self.end(Outcome::Cancelled, |server, _| server.0 >= first);
+        self.gateways.iter_mut().for_each(|gateway| drop(gateway.list(ListKind::Changes, anew.clone())));
+        again.into_iter().for_each(|client| self.come(true, client));
     }
 
     fn share_from(&self, first: u32) -> f64 {
-        self.standing.values().filter(|one| one.1.0 >= first).count() as f64 / self.standing.len() as f64
+        self.standing.values().filter(|at| at.1.0 >= first).count() as f64 / self.standing.len() as f64
     }
 }
 
-/// A farm bears its new clients with two thirds of what it can do or less, so 1.5 here is what tips cold servers.
-/// The most sent to one server, and to all from `first` on, over what tips them within any fall time.
+/// The most sent to all servers from `first` on, and to one of them less what is chance, over what tips them within
+/// any fall time, where a farm can do no more than bear its new clients.
 fn strain_of_cold(fleet: &Fleet, first: u32, since: u64) -> (f64, f64) {
     let rules = settings().rules;
     let fall = rules.fall_time / STEP;
@@ -133,16 +121,14 @@
     for start in since..fleet.step - fall {
         let age = ((start - since) * STEP) as f64 / rules.cold_time as f64;
         let warmth = rules.cold_share + (1.0 - rules.cold_share) * age.min(1.0);
-        // A farm that bears its new clients can take so many on each server, at least.
         let bears = NEW as f64 * fall as f64 / f64::from(SERVERS) * rules.tip_multiple * warmth;
-        let within = |step: u64| (start..start + fall).contains(&step);
-        let to = |of: &dyn Fn(u32) -> bool| {
-            fleet.sent.iter().filter(|(step, id)| within(*step) && of(id.0)).count() as f64
-        };
-        all = all.max(to(&|id| id >= first) / (bears * f64::from(SERVERS - first)));
-        for id in first..SERVERS {
-            one = one.max((to(&|other| other == id) - 3.0 * bears.sqrt()) / bears);
+        let mut sent = [0.0_f64; SERVERS as usize];
+        for (_, server) in fleet.sent.iter().filter(|(step, _)| (start..start + fall).contains(step)) {
+            sent[server.0 as usize] += 1.0;
         }
+        let cold = &sent[first as usize..];
+        all = all.max(cold.iter().sum::<f64>() / (bears * cold.len() as f64));
+        one = cold.iter().map(|sent| (sent - 3.0 * bears.sqrt()) / bears).fold(one, f64::max);
     }
     (one, all)
 }
@@ -175,7 +161,7 @@
     let mut fleet = Fleet::of(300);
     fleet.restart(2);
     for group in 0..200 {
-        fleet.come(true, GroupId(group), 100);
+        fleet.come(true, (GroupId(group), 100));
     }
     assert_eq!(fleet.standing.len(), 200, "of 200 with two warm servers of twenty");
 }
@@ -203,12 +189,9 @@
 #[test]
 fn gateways_that_all_start_with_one_list_spread_their_first_picks_by_weight() {
     let mut picks = BTreeMap::new();
+    let weighed = |id: u32| Entry { weight: f64::from(1 + 2 * (id % 2)), ..entry(id) };
     for rank in 0..300 {
-        let settings = Settings { gateways: 300, rank, ..settings() };
-        let mut gateway = Gateway::new(settings.clone());
-        gateway.balancer = beaconflow::Balancer::new(settings, 900 + u64::from(rank)).expect("in range");
-        let weighed = |id: u32| Entry { weight: f64::from(1 + 2 * (id % 2)), ..entry(id) };
-        gateway.list(ListKind::Full, (0..SERVERS).map(weighed).collect());
+        let mut gateway = one_of(300, rank, (0..SERVERS).map(weighed).collect());
         for server in attempts(&gateway.arrive(1, SAFE)) {
             *picks.entry(server).or_insert(0_u32) += 1;
         }
