--- a/lab/src/engine.rs
+++ b/lab/src/engine.rs
@@ -109,6 +109,8 @@
     /// Counts its starts; words for an earlier one are lost.
     start: u32,
     alive: bool,
+    /// The last of the failures that keep it down is over then.
+    down_until: Nanos,
 }
 
 struct Machine {
@@ -117,6 +119,8 @@
     start: u32,
     listed: State,
     up: bool,
+    /// The last of the failures that keep it down is over then.
+    down_until: Nanos,
     hangs_until: Nanos,
     /// Messages there were slow when last told.
     slow: bool,
@@ -169,6 +173,7 @@
             start: 0,
             listed: State::Ready,
             up: true,
+            down_until: 0,
             hangs_until: 0,
             slow: false,
         };
@@ -205,7 +210,7 @@
         let shares = self.scenario.accounts.iter().map(|account| account.share).collect();
         let seed = self.scenario.seed ^ (u64::from(rank) << 32) ^ u64::from(start);
         let settings = self.scenario.settings(rank);
-        Node { decides: self.policy.balancer(settings, shares, seed), start, alive: true }
+        Node { decides: self.policy.balancer(settings, shares, seed), start, alive: true, down_until: 0 }
     }
 
     /// Plays the scenario to its end; `each_second` is told of each second of the run and may end it by `false`.
@@ -819,12 +824,14 @@
             |engine: &mut Engine<'s>, span: f64, part: u8| engine.after(span, What::GoesOn { failure, part });
         match scenario.failures[failure as usize].get_ref() {
             Failure::Hang { for_s, gateways, .. } => {
+                let until = self.now.saturating_add(nanos(*for_s));
                 for gateway in gateways {
-                    self.machines[*gateway as usize].hangs_until = self.now.saturating_add(nanos(*for_s));
+                    let machine = &mut self.machines[*gateway as usize];
+                    machine.hangs_until = machine.hangs_until.max(until);
                 }
             }
             Failure::Crash { for_s, gateways, .. } => {
-                gateways.iter().for_each(|gateway| self.goes_down(*gateway));
+                gateways.iter().for_each(|gateway| self.goes_down(*gateway, *for_s));
                 self.list_changes();
                 goes_on(self, *for_s, 1);
             }
@@ -843,11 +850,12 @@
                 }
             }
             Failure::BalancerKilled { for_s, balancer, .. } => {
-                self.kill(*balancer);
+                self.kill(*balancer, *for_s);
                 goes_on(self, *for_s, 0);
             }
             Failure::DiscoveryAway { for_s, .. } => {
-                self.discovery_back_at = self.now.saturating_add(nanos(*for_s));
+                let back_at = self.now.saturating_add(nanos(*for_s));
+                self.discovery_back_at = self.discovery_back_at.max(back_at);
             }
             Failure::Reconnect { within_s, part, .. } => self.drop_some(*part, nanos(*within_s)),
             Failure::Flood { for_s, clients, account, .. } => {
@@ -865,7 +873,7 @@
     fn goes_on(&mut self, failure: u32, part: u8) {
         match (self.scenario.failures[failure as usize].get_ref(), part) {
             (Failure::Drain { for_s, gateways, .. }, 0) => {
-                gateways.iter().for_each(|gateway| self.goes_down(*gateway));
+                gateways.iter().for_each(|gateway| self.goes_down(*gateway, *for_s));
                 self.list_changes();
                 let span = *for_s;
                 self.after(span, What::GoesOn { failure, part: 1 });
@@ -873,13 +881,20 @@
             (Failure::Drain { gateways, .. } | Failure::Crash { gateways, .. }, _) => {
                 for gateway in gateways {
                     let machine = &mut self.machines[*gateway as usize];
+                    if machine.up || self.now < machine.down_until {
+                        continue;
+                    }
                     machine.gateway = Gateway::new(self.scenario.make.clone(), self.now, false);
                     (machine.up, machine.listed) = (true, State::Ready);
                 }
                 self.list_changes();
             }
             (Failure::BalancerKilled { balancer, .. }, _) => {
-                let start = self.nodes[*balancer as usize].start;
+                let Node { start, alive, down_until, .. } = self.nodes[*balancer as usize];
+                // A second one on top of it has to be over as well, or what came since would be lost unsaid.
+                if alive || self.now < down_until {
+                    return;
+                }
                 self.nodes[*balancer as usize] = self.node(*balancer, start);
                 self.checker.restarted(*balancer);
                 self.tell_list(*balancer, true);
@@ -889,8 +904,9 @@
     }
 
     /// A gateway's process ends: what stands there is cut off, what it works on is lost.
-    fn goes_down(&mut self, gateway: u32) {
+    fn goes_down(&mut self, gateway: u32, for_s: f64) {
         let machine = &mut self.machines[gateway as usize];
+        machine.down_until = machine.down_until.max(self.now.saturating_add(nanos(for_s)));
         (machine.up, machine.listed) = (false, State::Gone);
         machine.start += 1;
         let there = machine.gateway.ids();
@@ -912,8 +928,9 @@
         }
     }
 
-    fn kill(&mut self, balancer: u32) {
+    fn kill(&mut self, balancer: u32, for_s: f64) {
         let node = &mut self.nodes[balancer as usize];
+        node.down_until = node.down_until.max(self.now.saturating_add(nanos(for_s)));
         node.alive = false;
         node.start += 1;
         let mut of: Vec<u64> =
--- a/lab/tests/runs.rs
+++ b/lab/tests/runs.rs
@@ -126,3 +126,27 @@
         prop_assert_eq!(engine.checker.broken(), &[][..]);
     }
 }
+
+/// What is down by two failures at once comes back when the last of them is over, and once: a start of a balancer
+/// that is up already would lose the requests that wait there, here those of a farm that hangs.
+#[test]
+fn failures_that_overlap_end_with_the_last_of_them() {
+    let failure = |kind: &str, at: u32, span: u32, which: &str| {
+        format!("[[failure]]\nkind = \"{kind}\"\nat_s = {at}\nfor_s = {span}\n{which}\n")
+    };
+    let all = "gateways = [0, 1]";
+    for (kind, which) in [("balancer-killed", "balancer = 0"), ("crash", all)] {
+        let text = format!(
+            "seed = 7\nseconds = 9\nbalancers = 1\ngateways = 2\n[[class]]\nname = \"a\"\naim_ms = 400\n\
+             deadline_ms = 2000\na_second = 10\nlife_s = 10\nload_us = 20000\n{}{}{}",
+            failure(kind, 1, 2, which),
+            failure(kind, 2, 5, which),
+            failure("hang", 6, 3, all),
+        );
+        let scenario = Scenario::parse(&text).expect("sound");
+        let engine = play(&scenario);
+        assert_eq!(engine.checker.broken(), [], "{kind}");
+        let stood: u64 = engine.measures.seconds[3..7].iter().map(|second| second.stood).sum();
+        assert_eq!(stood, 0, "{kind}: between the ends of the two");
+    }
+}
