Older changes of the list are passed over; faults of the configuration name their field

Seen: a watch took any line in, so that late changes (version 4 after 5) brought back what version 5 had taken away. A count that is no number ended the start with 'invalid type: string, expected u32' and no field. A missing one passed for 1 unsaid: each of 300 would keep the allowances of all for itself.

Change: changes below the version held are passed over with a warning; a whole list is taken whatever its version, since discovery counts anew after a restart. The configuration is read through serde_path_to_error, which names the field; a missing count is told at the start and serves as one alone (a refusal would stop a balancer that can serve).

Tests: the watch over loopback fails without its change (taken 5, 4, 6, 2, 3); the start's story.

--- a/balancer/src/config.rs
+++ b/balancer/src/config.rs
@@ -54,7 +54,12 @@
     pub fn read() -> Result<Config, String> {
         let path = std::env::var("LB_CONFIG").map_err(|error| format!("LB_CONFIG: {error}"))?;
         let text = std::fs::read(&path).map_err(|error| format!("{path}: {error}"))?;
-        serde_json::from_slice(&text).map_err(|error| format!("{path}: {error}"))
+        let mut json = serde_json::Deserializer::from_slice(&text);
+        // The error of a value out of kind says which field it is.
+        let config =
+            serde_path_to_error::deserialize(&mut json).map_err(|error| format!("{path}: {error}"))?;
+        json.end().map_err(|error| format!("{path}: {error}"))?;
+        Ok(config)
     }
 
     /// What the listed variables overrule at the start. They keep what they were then: a file that is read anew
--- a/balancer/src/farm.rs
+++ b/balancer/src/farm.rs
@@ -219,6 +219,13 @@
                 continue;
             }
             let list: List = serde_json::from_slice(&line)?;
+            if !list.reset && list.generation < self.generation {
+                // Guards against late changes that would bring back what a newer version has taken away. A whole list
+                // is taken whatever its version: discovery counts anew.
+                let (told, held) = (list.generation, self.generation);
+                warn!(part = "farm", told, held, "changes older than the list held are passed over");
+                continue;
+            }
             self.generation = list.generation;
             tell(News::List(list));
         }
@@ -321,6 +328,30 @@
         assert_eq!(text, "ab\n\ncde\n");
     }
 
+    #[test]
+    fn changes_older_than_the_list_held_are_passed_over_and_an_older_whole_list_is_not() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback");
+        let discovery = listener.local_addr().expect("bound");
+        let (watcher, ask) = Watcher::new(discovery, 0);
+        let (told, news) = unbounded();
+        std::thread::spawn(move || watcher.run(|list| drop(told.send(list))));
+        ask.send(()).expect("it listens");
+        let (mut stream, _) = listener.accept().expect("a watch");
+        stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").expect("open");
+        for (generation, reset) in [(5, true), (4, false), (6, false), (2, true), (3, false)] {
+            let line = format!("{{\"generation\":{generation},\"reset\":{reset}}}\n");
+            write!(stream, "{:x}\r\n{line}\r\n", line.len()).expect("open");
+        }
+        drop(stream);
+        // The end of the watch is told as a failure.
+        let taken: Vec<u64> = std::iter::from_fn(|| match news.recv_timeout(Duration::from_secs(10)) {
+            Ok(News::List(list)) => Some(list.generation),
+            _ => None,
+        })
+        .collect();
+        assert_eq!(taken, [5, 6, 2, 3]);
+    }
+
     #[test]
     fn an_answer_that_is_no_watch_is_an_error() {
         for answer in [
--- a/balancer/src/serve.rs
+++ b/balancer/src/serve.rs
@@ -141,6 +141,12 @@
     let target = watcher.target();
     let seed = config.seed();
     let setup = config.settings;
+    if !setup.counts_balancers() {
+        warn!(
+            part = "main",
+            "settings.balancers is missing: this one keeps the allowances of all for itself"
+        );
+    }
     let front = Arc::new(Platform::new(Arc::new(setup.clone())));
     let (known, overrides, door) = (config.known, overrides.clone(), door.clone());
     let start = Start { name: "core", setup, seed, clock, known, watch, overrides, door };
--- a/cli/tests/platform.rs
+++ b/cli/tests/platform.rs
@@ -209,6 +209,25 @@
     assert!(asked.elapsed() < Duration::from_millis(6_500));
 }
 
+#[test]
+fn a_count_of_balancers_that_is_none_ends_the_start_with_its_name_and_a_missing_one_is_told() {
+    for (count, why) in [
+        ("\"many\"", "settings.balancers: invalid type"),
+        ("-1", "settings.balancers: invalid value"),
+        ("0", "setting out of range: gateways"),
+        ("", "settings.balancers is missing"),
+    ] {
+        let said = if count.is_empty() { String::new() } else { format!("\"balancers\":{count},") };
+        let settings = SETTINGS.replace("\"balancers\":1,", &said);
+        let path = file("count", &config(free(), free(), &list(1, true, &[]), &settings, 256));
+        let program = Program::start(&[], &[("LB_CONFIG", path.as_str())]);
+        program.says(why);
+        if count.is_empty() {
+            program.says("serves");
+        }
+    }
+}
+
 #[test]
 fn a_draining_server_gets_nothing_new_and_its_clients_are_moved() {
     let site = Site::start("drain", 2);
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -29,8 +29,8 @@
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Setup {
-    #[serde(default = "one_gateway")]
-    balancers: u32,
+    #[serde(default)]
+    balancers: Option<u32>,
     #[serde(default)]
     rank: u32,
     #[serde(default)]
@@ -117,10 +117,6 @@
     cross_zone: f64,
 }
 
-fn one_gateway() -> u32 {
-    1
-}
-
 /// A word in the settings that has no meaning here.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UnknownWord {
@@ -160,6 +156,11 @@
             .filter_map(move |project| Some((project.name.as_str(), project.share.filter(sound)?)))
     }
 
+    /// Whether they say how many balancers there are. One that is not told takes itself for the only one.
+    pub fn counts_balancers(&self) -> bool {
+        self.balancers.is_some()
+    }
+
     /// The same settings with another's shares.
     pub fn with_shares_of(&self, other: &Setup) -> Setup {
         Setup { projects: other.projects.clone(), ..self.clone() }
@@ -185,7 +186,7 @@
         };
         let limits = &self.policy_limits;
         Ok(Settings {
-            gateways: self.balancers,
+            gateways: self.balancers.unwrap_or(1),
             rank: self.rank,
             zone: ZoneId(self.zone),
             classes: self.lanes.iter().enumerate().map(class).collect::<Result<Vec<Class>, _>>()?,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -25,6 +25,13 @@
     standing: BTreeMap<u64, (usize, ServerId)>,
     /// Each attempt: the step and the server.
     sent: Vec<(u64, ServerId)>,
+    /// Servers in trouble, and what becomes of passes there.
+    ill: BTreeMap<ServerId, Outcome>,
+    /// Passes to them: the step they end at, where, the request and which attempt, the outcome.
+    out: Vec<(u64, usize, u64, u32, Outcome)>,
+    /// Each client's attempts, and the step it had a connection or an answer without one.
+    tries: BTreeMap<u64, u32>,
+    answered: BTreeMap<u64, (u64, bool)>,
     moved: usize,
     step: u64,
 }
@@ -43,7 +50,19 @@
         let servers: Vec<Entry> = (0..SERVERS).map(entry).collect();
         let (rng, clients) = (Pcg32::seed_from_u64(5), Vec::new());
         let gateways = (0..gateways).map(|rank| one_of(gateways, rank, servers.clone())).collect();
-        Fleet { gateways, rng, clients, standing: BTreeMap::new(), sent: Vec::new(), moved: 0, step: 0 }
+        Fleet {
+            gateways,
+            rng,
+            clients,
+            standing: BTreeMap::new(),
+            sent: Vec::new(),
+            ill: BTreeMap::new(),
+            out: Vec::new(),
+            tries: BTreeMap::new(),
+            answered: BTreeMap::new(),
+            moved: 0,
+            step: 0,
+        }
     }
 
     /// A client comes to some gateway: one in seven of them has five times the traffic of the others.
@@ -59,10 +78,22 @@
 
     fn follow(&mut self, at: usize, actions: Vec<Action>) {
         for action in actions {
-            if let Action::Attempt { request, server, .. } = action {
+            if let Action::Attempt { request, server, timeout } = action {
                 self.sent.push((self.step, server));
-                self.gateways[at].establish(request.0, 0);
+                let attempt = self.tries.entry(request.0).or_default();
+                *attempt += 1;
+                if let Some(outcome) = self.ill.get(&server) {
+                    let wait = if *outcome == Outcome::TimedOut { timeout } else { 200 * MS };
+                    self.out.push((self.step + wait / STEP, at, request.0, *attempt - 1, *outcome));
+                    continue;
+                }
+                let more = self.gateways[at].establish(request.0, *attempt - 1);
                 self.standing.insert(request.0, (at, server));
+                self.answered.insert(request.0, (self.step, true));
+                self.follow(at, more);
+            } else if let Action::Refuse { request, .. } | Action::Fail(request) = action {
+                let before = self.answered.insert(request.0, (self.step, false));
+                assert_eq!(before, None, "one final answer");
             } else if let Action::Move(request) = action {
                 self.moved += 1;
                 self.standing.remove(&request.0).expect("it stands");
@@ -96,6 +127,12 @@
             let actions = self.gateways[at].pass(STEP);
             self.follow(at, actions);
         }
+        for (_, at, request, attempt, outcome) in
+            self.out.extract_if(.., |out| out.0 <= step).collect::<Vec<_>>()
+        {
+            let actions = self.gateways[at].end(request, attempt, outcome);
+            self.follow(at, actions);
+        }
     }
 
     /// The servers from `first` on are started anew within one step, and all clients there come again.
@@ -149,6 +186,39 @@
     }
 }
 
+#[test]
+fn a_zone_that_is_cut_off_and_a_fifth_that_falls_silent_cost_few_clients_and_are_used_again() {
+    for (each, outcome) in [(4, Outcome::ConnectFailed), (5, Outcome::TimedOut)] {
+        let mut fleet = Fleet::of(300);
+        (0..300).for_each(|_| fleet.pass());
+        let (since, first) = (fleet.step, fleet.clients.len() as u64);
+        let is_ill = |server: ServerId| server.0.is_multiple_of(each);
+        fleet.ill = (0..SERVERS).map(ServerId).filter(|id| is_ill(*id)).map(|id| (id, outcome)).collect();
+        // A zone that is cut off takes its connections along; a silent server keeps them.
+        let again =
+            fleet.end(Outcome::Reset, |server, _| is_ill(server) && outcome == Outcome::ConnectFailed);
+        again.into_iter().for_each(|client| fleet.come(true, client));
+        (0..60).for_each(|_| fleet.pass());
+        let came = first..fleet.clients.len() as u64;
+        fleet.ill.clear();
+        (0..100).for_each(|_| fleet.pass());
+        let stood = came.clone().filter(|id| fleet.answered.get(id).is_some_and(|answer| answer.1)).count();
+        let (stood, came) = (stood as f64, (came.end - came.start) as f64);
+        let part = |steps: std::ops::Range<u64>| {
+            let sent = fleet.sent.iter().filter(|(step, _)| steps.contains(step));
+            let (on_ill, all) = sent.fold((0.0, 0.0), |(ill, all), (_, server)| {
+                (ill + f64::from(u8::from(is_ill(*server))), all + 1.0)
+            });
+            on_ill / all * f64::from(each)
+        };
+        let (during, at_once, later) =
+            (part(since + 20..since + 60), part(since + 60..since + 70), part(since + 110..since + 160));
+        assert!(stood >= 0.9 * came, "{outcome:?}: {stood} of {came} came to stand");
+        assert!(during <= 1.2 && at_once <= 1.2, "{outcome:?}: {during} and {at_once} of its part");
+        assert!((0.7..=1.3).contains(&later), "{outcome:?}: {later} of its part when it is well again");
+    }
+}
+
 #[test]
 fn in_a_large_fleet_two_or_three_connections_on_one_server_are_no_reason_to_move_any() {
     let mut fleet = Fleet::of(300);
--- a/tests/herd.rs
+++ b/tests/herd.rs
@@ -130,12 +130,12 @@
 
 /// Discovery that works through calls in turn, one in each span; a call that waited for its patience fails.
 struct Queue {
+    each: Nanos,
     free_at: Nanos,
     calls: usize,
 }
 
 impl Queue {
-    const EACH: Nanos = 100 * MS;
     const PATIENCE: Nanos = 2 * SECOND;
 
     /// When a call is over, and whether it was served.
@@ -145,7 +145,7 @@
         if begins > now + Queue::PATIENCE {
             return (now + Queue::PATIENCE, false);
         }
-        self.free_at = begins + Queue::EACH;
+        self.free_at = begins + self.each;
         (self.free_at, true)
     }
 }
@@ -156,14 +156,15 @@
         Timer(TimerId),
         Answer(bool),
     }
-    for seed in 0..10 {
-        let settings = |rank| Settings { gateways: 43, rank, discovery: Discovery::Asked, ..settings() };
-        let mut herd: Vec<beaconflow::Balancer> = (0..43)
+    // Discovery is as fast as the number needs that has to be told within the rule.
+    for (seed, gateways, each) in (0..10).map(|seed| (seed, 43, 100 * MS)).chain([(11, 300, 20 * MS)]) {
+        let settings = |rank| Settings { gateways, rank, discovery: Discovery::Asked, ..settings() };
+        let mut herd: Vec<beaconflow::Balancer> = (0..gateways)
             .map(|rank| {
                 beaconflow::Balancer::new(settings(rank), 100 * seed + u64::from(rank)).expect("sound")
             })
             .collect();
-        let mut queue = Queue { free_at: 0, calls: 0 };
+        let mut queue = Queue { each, free_at: 0, calls: 0 };
         // What comes when, for whom; the number keeps equal moments in the order in which they were set.
         let mut due = std::collections::BTreeMap::new();
         let mut listed = vec![None; herd.len()];
@@ -201,7 +202,7 @@
             };
             next.push((now, which, event));
         }
-        assert!(queue.calls <= 43 + 8, "seed {seed}: {} calls", queue.calls);
+        assert!(queue.calls <= gateways as usize * 6 / 5, "seed {seed}: {} calls", queue.calls);
         assert!(listed.iter().flatten().all(|at| *at < 9 * SECOND), "seed {seed}: {listed:?}");
     }
 }
