A client that was moved or cut off is not evened out again

No server was cold before 12 s and none left: it was even_out, which each balancer does without knowing of the move before (src/rules.rs, even_out). What the client's line says of it, again=1, was not looked at.

Change: only a client that is neither pinned nor was moved or cut off before is moved to even servers out.

The test fails without the change.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -599,8 +599,8 @@
                 others.map(|(_, held, weight)| (held + more) / weight).fold(f64::INFINITY, f64::min)
                     < EVEN_GAIN * load / weight
             };
-            // Guards against a pinned connection that comes back to the same server and is moved again.
-            let free = |id: &RequestId| self.books.requests[id].arrival.pin.is_none();
+            // Guards against moves for nothing: a pinned one comes back, one moved before is moved again.
+            let free = |id: &RequestId| self.books.requests[id].came_freely();
             let heavy = self.books.heaviest_at(id).into_iter().find(|(more, id)| fits(*more) && free(id));
             if let Some((_, moved)) = heavy.filter(|(more, _)| *more >= EVEN_LEAST * load) {
                 self.move_off(moved, out);
--- a/src/state.rs
+++ b/src/state.rs
@@ -724,6 +724,11 @@
 }
 
 impl Request {
+    /// Its client was neither pinned nor moved or cut off before.
+    pub(crate) fn came_freely(&self) -> bool {
+        self.arrival.pin.is_none() && !self.arrival.returns
+    }
+
     /// Its client comes for the first time, and it has not waited.
     pub(crate) fn is_new(&self) -> bool {
         !self.arrival.returns && self.attempts == 0 && self.timer.is_none()
--- a/tests/herd.rs
+++ b/tests/herd.rs
@@ -63,6 +63,19 @@
     }
 }
 
+#[test]
+fn a_client_that_was_moved_is_not_evened_out_again() {
+    for (returns, moved) in [(false, 1), (true, 0)] {
+        let mut gateway = one_of(3, 4);
+        for id in 0..8 {
+            let arrival = Arrival { returns, ..arrival(id, SAFE, gateway.now) };
+            gateway.tell(Event::Standing { arrival, server: ServerId(0) });
+        }
+        let moves = gateway.pass(SECOND).into_iter().filter(|action| matches!(action, Action::Move(_)));
+        assert_eq!(moves.count(), moved, "came again: {returns}");
+    }
+}
+
 #[test]
 fn set_ups_that_take_long_do_not_open_the_window_any_further() {
     let open_after = |took: Nanos| {
