--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -29,9 +29,9 @@
     ill: BTreeMap<ServerId, Outcome>,
     /// Passes to them: the step they end at, where, the request and which attempt, the outcome.
     out: Vec<(u64, usize, u64, u32, Outcome)>,
-    /// Each client's attempts, and the step it had a connection or an answer without one.
+    /// Each client's attempts, and whether its answer was a connection.
     tries: BTreeMap<u64, u32>,
-    answered: BTreeMap<u64, (u64, bool)>,
+    answered: BTreeMap<u64, bool>,
     moved: usize,
     step: u64,
     /// Whether clients belong to groups.
@@ -92,10 +92,10 @@
                 }
                 let more = self.gateways[at].establish(request.0, *attempt - 1);
                 self.standing.insert(request.0, (at, server));
-                self.answered.insert(request.0, (self.step, true));
+                self.answered.insert(request.0, true);
                 self.follow(at, more);
             } else if let Action::Refuse { request, .. } | Action::Fail(request) = action {
-                let before = self.answered.insert(request.0, (self.step, false));
+                let before = self.answered.insert(request.0, false);
                 assert_eq!(before, None, "one final answer");
             } else if let Action::Move(request) = action {
                 self.moved += 1;
@@ -130,9 +130,8 @@
             let actions = self.gateways[at].pass(STEP);
             self.follow(at, actions);
         }
-        for (_, at, request, attempt, outcome) in
-            self.out.extract_if(.., |out| out.0 <= step).collect::<Vec<_>>()
-        {
+        let over: Vec<_> = self.out.extract_if(.., |out| out.0 <= step).collect();
+        for (_, at, request, attempt, outcome) in over {
             let actions = self.gateways[at].end(request, attempt, outcome);
             self.follow(at, actions);
         }
@@ -213,14 +212,12 @@
         let came = first..fleet.clients.len() as u64;
         fleet.ill.clear();
         (0..100).for_each(|_| fleet.pass());
-        let stood = came.clone().filter(|id| fleet.answered.get(id).is_some_and(|answer| answer.1)).count();
+        let stood = came.clone().filter(|id| fleet.answered.get(id) == Some(&true)).count();
         let (stood, came) = (stood as f64, (came.end - came.start) as f64);
         let part = |steps: std::ops::Range<u64>| {
-            let sent = fleet.sent.iter().filter(|(step, _)| steps.contains(step));
-            let (on_ill, all) = sent.fold((0.0, 0.0), |(ill, all), (_, server)| {
-                (ill + f64::from(u8::from(is_ill(*server))), all + 1.0)
-            });
-            on_ill / all * f64::from(each)
+            let sent: Vec<_> = fleet.sent.iter().filter(|(step, _)| steps.contains(step)).collect();
+            let on_ill = sent.iter().filter(|(_, server)| is_ill(*server)).count();
+            (on_ill * each as usize) as f64 / sent.len() as f64
         };
         let (during, at_once, later) =
             (part(since + 20..since + 60), part(since + 60..since + 70), part(since + 110..since + 160));
