An answer's delay ends at its first byte, not when its last piece is there

Cause: a standing server's strain is read from how long its lines take to answer the client's. The clock was stopped when the answering line was whole (stages/relay.rs, Notes::note).

Change: the delay is taken up to the first byte of the answering message; the silence of a server counts as before.

--- a/balancer/src/stages/relay.rs
+++ b/balancer/src/stages/relay.rs
@@ -129,6 +129,8 @@
     /// The unanswered questions to it, the oldest first.
     asked: VecDeque<Asked>,
     was_slow: bool,
+    /// When the first byte of the message came that is being read from it.
+    message_began: Instant,
     /// Its last word.
     last: Option<Seen>,
     /// The client is to be moved: since when, and why.
@@ -153,6 +155,7 @@
             id,
             asked: VecDeque::new(),
             was_slow: false,
+            message_began: now,
             last: None,
             moving: None,
         };
@@ -292,6 +295,9 @@
 
     /// Relays what the server sent, as far as it may go on. A move that waits goes out at the last boundary.
     fn backward(&mut self, bytes: &[u8], words: &[u8]) -> Result<(), End> {
+        if self.kept.is_empty() && self.framer.is_between() {
+            self.notes.message_began = Instant::now();
+        }
         self.kept.extend_from_slice(bytes);
         // A message that comes with the word to move has begun: the move waits for its end.
         let waits = self.notes.moving.is_some();
@@ -409,7 +415,8 @@
             Seen::Asked | Seen::Goodbye | Seen::SentAway => return true,
         };
         let Some(Asked { at, own }) = answered else { return true };
-        let took = at.elapsed();
+        // Guards against a network that delivers an answer in pieces: a server shows its strain by when it begins one.
+        let took = self.message_began.saturating_duration_since(at);
         let slow = took >= self.core.slow();
         // Once more when messages are no longer slow, so that the core hears of it.
         if slow || self.was_slow {
--- a/cli/tests/pieces.rs
+++ b/cli/tests/pieces.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use support::site::Site;
 use support::*;
 
@@ -64,3 +66,33 @@
     first.say("still here\r\n");
     first.hears("ok");
 }
+
+#[test]
+fn an_answer_that_comes_in_pieces_is_no_slow_answer() {
+    let settings = SETTINGS.replacen('{', r#"{"family-info":{"message-aim-ns":[50000000,50000000]},"#, 1);
+    let site = Site::start_on(&settings, "whole", 1, &[("BEACONFLOW_LOG", "debug")]);
+    let (mut client, mut server) = site.stand();
+    let rest_comes_after = Duration::from_millis(150);
+    client.say("M 1\r\n");
+    server.hears("M 1");
+    server.say("o");
+    client.bytes(1);
+    std::thread::sleep(rest_comes_after);
+    // What comes in between is no answer; neither is the end of the line that the answer began.
+    server.say("k\r\nLOAD 12.5\r\n");
+    client.hears("k");
+    client.hears("LOAD 12.5");
+    let noted = |lines: &[String]| lines.iter().filter(|line| line.contains("Delay(")).count();
+    assert_eq!(noted(&site.program.says_up_to("Load(12.5)")), 0, "the first piece came at once");
+    // An answer that begins late is a slow one, in one piece or in two.
+    for pieces in [&["ok\r\n"][..], &["o", "k\r\n"]] {
+        client.say("M 2\r\n");
+        server.hears("M 2");
+        std::thread::sleep(rest_comes_after);
+        for piece in pieces {
+            server.say(piece);
+            client.bytes(piece.len());
+        }
+        site.program.says("Delay(");
+    }
+}
