The keeper of overrides parted: restore, view, follow, housekeeping, audit

Cause: balancer/src/overrides.rs (526 lines) held all of it, and some functions several steps. Change: five modules; look_after, take_back and add in steps of their own; Farm is ListedServers. Log lines as before. Result: cargo test -p beaconflow-balancer: 41 unit tests and 6 of keeper.rs pass. Same names of tests.

--- /dev/null
+++ b/balancer/src/overrides/audit.rs
@@ -0,0 +1,20 @@
+//! The audit's events: who did what, for whoever asks later.
+
+use beaconflow_overrides::{Millis, Override};
+use tracing::info;
+
+/// An event for whoever asks later who did what.
+pub(super) fn audit(what: &str, one: &Override, now: Millis) {
+    info!(
+        part = "audit",
+        id = one.id.0,
+        kind = one.kind.name(),
+        server = one.kind.server(),
+        remaining_s = one.end().saturating_sub(now) / 1_000,
+        revision = one.revision,
+        forced = one.forced,
+        who = one.who,
+        why = one.why,
+        "override {what}"
+    );
+}
--- /dev/null
+++ b/balancer/src/overrides/view.rs
@@ -0,0 +1,81 @@
+//! Overrides as people are shown them, and what they would leave of the servers.
+
+use std::collections::HashMap;
+
+use beaconflow::api::State as ServerState;
+use beaconflow_overrides::{Effect, Judgement, Listed, Millis, Override, Set, judge, shifted};
+
+use super::State;
+use crate::core::Look;
+
+/// An override as people see it: its moments are the wall clock's.
+#[derive(Clone, Debug)]
+pub struct Shown {
+    /// The override.
+    pub one: Override,
+    /// How long it still holds, in milliseconds.
+    pub remaining: Millis,
+    /// What it does now at each front.
+    pub effects: Vec<(&'static str, Effect)>,
+}
+
+/// What a front's servers are by the list, without overrides.
+pub(super) struct ListedServers {
+    front: &'static str,
+    states: HashMap<String, ServerState>,
+}
+
+impl ListedServers {
+    /// As a look at the front's core has them; none where it gave no look.
+    pub(super) fn seen(front: &'static str, look: Option<Look>) -> ListedServers {
+        let servers = look.into_iter().flat_map(|look| look.farm);
+        ListedServers { front, states: servers.map(|server| (server.name, server.state.0)).collect() }
+    }
+
+    fn listed(&self, server: &str) -> Listed {
+        match self.states.get(server) {
+            Some(ServerState::Ready | ServerState::Out) => Listed::Ready,
+            Some(ServerState::Draining) => Listed::Leaving,
+            Some(ServerState::Gone) | None => Listed::Absent,
+        }
+    }
+}
+
+/// An override as it is shown at a moment.
+pub(super) fn shown(state: &State, one: &Override, fronts: &[ListedServers], now: Millis) -> Shown {
+    let effect = |servers: &ListedServers| {
+        let listed = servers.listed(one.kind.server());
+        (servers.front, state.set.effect(one.id, listed, now).unwrap_or(Effect::Ended))
+    };
+    Shown {
+        remaining: one.end().saturating_sub(now),
+        effects: fronts.iter().map(effect).collect(),
+        one: shifted(one, state.steps.ahead_by()),
+    }
+}
+
+/// Where a new override leaves no ready server that was one before.
+pub(super) fn leaves_none(
+    set: &mut Set,
+    one: &Override,
+    looks: &[(&'static str, Option<Look>)],
+    now: Millis,
+) -> Vec<(&'static str, Judgement)> {
+    let before = judged(set, looks, now);
+    set.put(one.clone());
+    let after = judged(set, looks, now);
+    set.forget(one.id);
+    let worse = after.iter().zip(&before).map(|(after, before)| after.beyond(before));
+    let fronts = looks.iter().map(|(front, _)| *front);
+    fronts.zip(worse).filter(|(_, judgement)| !judgement.is_sound()).collect()
+}
+
+/// What the overrides leave of each front's ready servers.
+fn judged(set: &Set, looks: &[(&'static str, Option<Look>)], now: Millis) -> Vec<Judgement> {
+    let at_front = |look: &Option<Look>| {
+        let servers = look.iter().flat_map(|look| &look.farm);
+        let ready = servers.filter(|server| server.state.0 == ServerState::Ready);
+        judge(ready.map(|server| (server.name.as_str(), server.zone.as_str())), set, now)
+    };
+    looks.iter().map(|(_, look)| at_front(look)).collect()
+}
