The fleet's thread parted: setup, handle, loop, and one module for each of its sources

Cause: fleet/hear.rs (563 lines) and fleet/mod.rs (467) held everything that thread does. Change: observed (the core), from_peers, server_list, remembered, recovering, and setup, handle, thread; the code itself is moved unchanged. mod.rs says which module has what.

--- /dev/null
+++ b/balancer/src/fleet/from_peers.rs
@@ -0,0 +1,122 @@
+//! What the peers tell: what they added to what is known, and who of them is there.
+
+use beaconflow_edge::Evidence;
+use beaconflow_knowledge::{Change, Subject};
+use beaconflow_peers::Event as PeerEvent;
+use beaconflow_recovery::{Event as Way, Whom};
+
+use super::server_list::LIST_GOOD;
+use super::{Thread, carry, records, words};
+use crate::core::{Event, KnownNews, TieNews};
+
+/// Once a process of the site has spoken up and nothing more has come for so long, it has told what it knows.
+const SETTLES: u64 = 200_000_000;
+/// Or so long after the first word. Guards against a fleet that always has news.
+const SETTLES_MOST: u64 = 600_000_000;
+
+impl Thread {
+    /// What peers added to what is known.
+    pub(super) fn learnt(&mut self, changes: &[Change]) {
+        let (mut placements, mut versions) = (Vec::new(), Vec::new());
+        let (mut has_entries, mut has_lists) = (false, false);
+        for fact in changes.iter().filter_map(Change::after) {
+            let age = self.ms().saturating_sub(fact.witnessed);
+            match carry::own(&fact) {
+                Some((carry::PLACED, key, bytes)) => placements.extend(records::read_placement(key, bytes)),
+                Some((carry::VERSION, key, bytes)) => versions.extend(records::read_version(key, bytes)),
+                Some((carry::WORD, _, bytes)) => {
+                    if let Some(word) = words::hear(bytes, age) {
+                        let is_here = word.site == self.file.site;
+                        self.way(Way::Peer(word));
+                        if is_here {
+                            self.settles();
+                        } else {
+                            self.way(Way::Answered(Whom::OtherSites));
+                        }
+                    }
+                }
+                Some((carry::UPLINK, _, bytes)) => {
+                    if let Some(says) = words::hear_uplink(bytes, age) {
+                        self.uplink(|uplink, now| uplink.take(now, Evidence::PeerSays(says)));
+                    }
+                }
+                Some((carry::JUDGED, _, bytes)) => {
+                    if let Some(one) = words::read_judged(bytes, fact.witnessed) {
+                        self.site.heard(one);
+                    }
+                }
+                Some((carry::LOAN, key, bytes)) if key == self.file.name.as_bytes() => {
+                    if let Some((from, number, clients)) = words::read_loan(bytes) {
+                        self.way(Way::Lent { from, number, clients });
+                    }
+                }
+                Some(_) => {}
+                None => match fact.subject {
+                    Subject::Listed(_) => has_entries = true,
+                    Subject::List => has_lists = true,
+                    Subject::Failures(key) => {
+                        let now = self.ms();
+                        let count = carry::with(&self.known, |known| known.knowledge.failures(key, now));
+                        self.core.tell(Event::Known(KnownNews::Failures(key, count)));
+                    }
+                    _ => {}
+                },
+            }
+        }
+        // Guards against a process that serves before it knows what the others do: more may be on its way.
+        self.settling = self.settling.map(|(_, most)| (self.now.saturating_add(SETTLES).min(most), most));
+        for placement in &placements {
+            self.keeps.placed(placement, self.ms());
+        }
+        self.hand_over(&placements);
+        if !versions.is_empty() {
+            self.ties(TieNews::Versions(versions));
+        }
+        if has_lists {
+            // One that had only its memory's list, or none, joins the life that the others know.
+            let now = self.ms();
+            let settled = carry::with(&self.known, |known| known.knowledge.settle_list(LIST_GOOD, now));
+            self.position = settled.filter(|_| self.position.is_some()).or(self.position);
+        }
+        if has_entries {
+            self.peers_list();
+        }
+    }
+
+    /// The site's processes have begun to tell what they know.
+    pub(super) fn settles(&mut self) {
+        if !self.is_settled && self.settling.is_none() {
+            let after = |span| self.now.saturating_add(span);
+            self.settling = Some((after(SETTLES), after(SETTLES_MOST)));
+        }
+    }
+
+    /// They have told it.
+    pub(super) fn settled(&mut self) {
+        (self.settling, self.is_settled) = (None, true);
+        self.peers_list();
+        self.way(Way::Answered(Whom::SitePeers));
+    }
+
+    /// What the peers' thread tells has stood in the log already.
+    pub(super) fn peers_say(&mut self, event: PeerEvent) {
+        if let PeerEvent::Down(was) | PeerEvent::Restarted { was, .. } = &event {
+            self.ties(TieNews::Died(super::origin(&was.name, was.boot)));
+        }
+        match event {
+            PeerEvent::BootRaised(boot) => {
+                self.boot = boot;
+                self.look.boot = boot;
+                carry::with(&self.known, |known| known.knowledge.renumber(boot));
+            }
+            PeerEvent::Up(_) | PeerEvent::Restarted { .. } | PeerEvent::Changed { .. } => {
+                self.tell_at = self.now
+            }
+            PeerEvent::Down(member) if *member.site != *self.file.site => {
+                let (name, site) = (member.name.to_string(), member.site.to_string());
+                self.uplink(|uplink, now| uplink.take(now, Evidence::PeerSilent { name, site }));
+            }
+            _ => {}
+        }
+    }
+}
