--- /dev/null
+++ b/cli/tests/support/peer.rs
@@ -0,0 +1,127 @@
+//! Peers that speak lines: clients, and servers by the script of a test.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+use super::PATIENCE;
+
+/// One end of a connection that speaks lines.
+pub struct Peer {
+    pub stream: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+impl Peer {
+    pub fn new(stream: TcpStream) -> Peer {
+        stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
+        let reader = BufReader::new(stream.try_clone().expect("a socket"));
+        Peer { stream, reader }
+    }
+
+    pub fn connect(to: SocketAddr) -> Peer {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            match TcpStream::connect(to) {
+                Ok(stream) => return Peer::new(stream),
+                Err(error) => assert!(Instant::now() < until, "{to}: {error}"),
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// The next connection. Guards against a test that would wait without an end.
+    pub fn accept(from: &TcpListener) -> Peer {
+        let until = Instant::now() + PATIENCE;
+        from.set_nonblocking(true).expect("open");
+        loop {
+            match from.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(false).expect("open");
+                    return Peer::new(stream);
+                }
+                Err(error) => assert!(Instant::now() < until, "no connection: {error}"),
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    pub fn say(&mut self, words: &str) {
+        self.stream.write_all(words.as_bytes()).expect("the peer reads");
+    }
+
+    /// The next line without its end; nothing at the end of the connection.
+    pub fn hear(&mut self) -> Option<String> {
+        let mut line = String::new();
+        match self.reader.read_line(&mut line) {
+            Ok(0) => None,
+            Ok(_) => Some(line.trim_end().to_owned()),
+            Err(error) => panic!("no line: {error}"),
+        }
+    }
+
+    /// The same, where a reset is an end too.
+    pub fn hear_or_end(&mut self) -> Option<String> {
+        let mut line = String::new();
+        self.reader.read_line(&mut line).ok().filter(|count| *count > 0)?;
+        Some(line)
+    }
+
+    pub fn hears(&mut self, words: &str) {
+        assert_eq!(self.hear().as_deref(), Some(words));
+    }
+
+    /// So many bytes as they come.
+    pub fn bytes(&mut self, count: usize) -> String {
+        let mut bytes = vec![0; count];
+        self.reader.read_exact(&mut bytes).expect("so many bytes");
+        String::from_utf8(bytes).expect("text")
+    }
+
+    pub fn ended(&mut self) {
+        assert_eq!(self.hear(), None, "nothing but the end");
+    }
+
+    /// Waits for the connection's end, in order or not: a peer at fault may be owed no more than a close.
+    pub fn is_gone(&mut self) -> bool {
+        let reset = |error: std::io::Error| error.kind() == std::io::ErrorKind::ConnectionReset;
+        self.reader.read(&mut [0]).map_or_else(reset, |count| count == 0)
+    }
+
+    /// Whether the connection was reset.
+    pub fn was_reset(&mut self) -> bool {
+        self.reader.read(&mut [0]).is_err_and(|error| error.kind() == std::io::ErrorKind::ConnectionReset)
+    }
+
+    pub fn finish(&self) {
+        self.stream.shutdown(Shutdown::Write).expect("open");
+    }
+}
+
+/// Has an application server take every opening and answer every line, for as long as the test runs.
+pub fn obliges(server: TcpListener) {
+    std::thread::spawn(move || {
+        while let Ok((stream, _)) = server.accept() {
+            std::thread::spawn(move || serve(Peer::new(stream)));
+        }
+    });
+}
+
+fn serve(mut peer: Peer) {
+    let Some(opening) = peer.hear() else { return };
+    assert!(opening.starts_with("OPEN "), "{opening}");
+    if peer.stream.write_all(b"UP r\r\n").is_err() {
+        return;
+    }
+    while let Some(line) = peer.hear_or_end() {
+        // One asks for half a line, and has to ask for the rest.
+        let answer: &[u8] = match line.trim_end() {
+            "half" => b"ha",
+            "rest" => b"lf\r\n",
+            _ => b"ok\r\n",
+        };
+        if peer.stream.write_all(answer).is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/cli/tests/support/program.rs
@@ -0,0 +1,128 @@
+//! The program under test.
+
+use std::fs::Permissions;
+use std::io::{BufRead, BufReader};
+use std::net::TcpListener;
+use std::os::fd::OwnedFd;
+use std::os::unix::fs::PermissionsExt;
+use std::os::unix::process::CommandExt;
+use std::path::Path;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::{Duration, Instant};
+
+use super::PATIENCE;
+
+/// The program, killed at the end of its test.
+pub struct Program {
+    child: Child,
+    log: Receiver<String>,
+}
+
+impl Program {
+    pub fn start(args: &[&str], env: &[(&str, &str)]) -> Program {
+        Program::begin(Command::new(env!("CARGO_BIN_EXE_beaconflow")), args, env)
+    }
+
+    /// Starts it as an ordinary user, whom the leave to write concerns. Root's tests need a copy that others may run.
+    pub fn start_as_nobody(copy: &Path, args: &[&str], env: &[(&str, &str)]) -> Program {
+        std::fs::copy(env!("CARGO_BIN_EXE_beaconflow"), copy).expect("room");
+        std::fs::set_permissions(copy, Permissions::from_mode(0o755)).expect("its owner may");
+        let mut command = Command::new(copy);
+        if rustix::process::geteuid().is_root() {
+            command.uid(65_534).gid(65_534);
+        }
+        Program::begin(command, args, env)
+    }
+
+    /// Starts it with a listener that this test holds, as descriptor 3.
+    pub fn start_inheriting(held: &TcpListener, env: &[(&str, &str)]) -> Program {
+        let mut command = Command::new("sh");
+        command.args(["-c", r#"exec 3<&0 </dev/null; exec "$0" "$@""#, env!("CARGO_BIN_EXE_beaconflow")]);
+        command.stdin(OwnedFd::from(held.try_clone().expect("open")));
+        Program::begin(command, &[], &[&[("LB_INHERITED_FD", "3")], env].concat())
+    }
+
+    /// Kills it outright.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("a child");
+        let _ = self.child.wait();
+    }
+
+    fn begin(mut command: Command, args: &[&str], env: &[(&str, &str)]) -> Program {
+        command.arg("serve").args(args).envs(env.iter().copied()).stderr(Stdio::piped());
+        let mut child = command.spawn().expect("the program starts");
+        let lines = BufReader::new(child.stderr.take().expect("piped")).lines();
+        let (send, log) = channel();
+        std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| send.send(line)));
+        Program { child, log }
+    }
+
+    /// Waits for a log line with these words; where none comes, tells what came instead.
+    pub fn says(&self, words: &str) -> String {
+        let until = Instant::now() + PATIENCE;
+        let mut said = Vec::new();
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            match self.log.recv_timeout(left) {
+                Ok(line) if line.contains(words) => return line,
+                Ok(line) => said.push(line),
+                Err(error) => panic!("the log never said {words:?} ({error}), but: {said:#?}"),
+            }
+        }
+    }
+
+    /// The lines up to the one with these words.
+    pub fn says_up_to(&self, words: &str) -> Vec<String> {
+        let mut said: Vec<String> = Vec::new();
+        while said.last().is_none_or(|line| !line.contains(words)) {
+            said.push(
+                self.log.recv_timeout(PATIENCE).unwrap_or_else(|_| panic!("never {words:?}: {said:#?}")),
+            );
+        }
+        said
+    }
+
+    /// Sends a signal, by name.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let done = Command::new("kill").args(["-s", name, &pid]).status().expect("kill runs");
+        assert!(done.success());
+    }
+
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// How many threads it has.
+    pub fn threads(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("it runs").count()
+    }
+
+    /// Waits for the program's own end, which has to be in order.
+    pub fn left(&mut self) -> bool {
+        self.ends().success()
+    }
+
+    /// Waits for the program's end.
+    pub fn ends(&mut self) -> ExitStatus {
+        let until = Instant::now() + PATIENCE;
+        while Instant::now() < until {
+            if let Some(status) = self.child.try_wait().expect("a child") {
+                return status;
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        panic!("the program never left");
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if std::thread::panicking() {
+            self.log.iter().for_each(|line| eprintln!("{line}"));
+        }
+    }
+}
