Tests inside sources moved into files of their own

Cause: eleven sources of faults, peers, knowledge, store and balancer/src/fleet held their tests. Change: each has 'mod tests;' and a tests.rs below it; the tests' text is the same but for indentation. List of tests: no difference, the module's path is the same.

--- a/balancer/src/fleet/records.rs
+++ b/balancer/src/fleet/records.rs
@@ -202,46 +202,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use beaconflow_affinity::How;
-
-    use super::*;
-
-    #[test]
-    fn what_is_written_is_read_back_and_what_is_cut_is_nothing() {
-        let listed = Listed {
-            instance_id: "s0".into(),
-            host_port: Some(([127, 0, 0, 1], 9).into()),
-            zone: "a".into(),
-            machine_type: "m4".into(),
-            cell: 3,
-            lifecycle: Lifecycle::Draining,
-            weight: 2.5,
-            started_at_ms: 77,
-        };
-        let whole = List { generation: 8, reset: true, instances: vec![listed] };
-        let kept = list(&whole, 2, 5);
-        let (read, life) = read_list(&kept).expect("whole");
-        assert_eq!((format!("{read:?}"), life), (format!("{whole:?}"), 2));
-        for state in [State::Standing, State::Ended(How::Broke), State::Ended(How::MovedUneven)] {
-            let placed = Placement {
-                key: Key(u64::MAX - 1),
-                group: Some(Group(7)),
-                server: Tag(9),
-                version: Version(u128::MAX - 5),
-                stamp: Stamp(1 << 63),
-                seen_s: 12,
-                state,
-                twins: 2,
-            };
-            let (key, bytes) = (placed.key.0.to_be_bytes(), placement(&placed));
-            assert_eq!(read_placement(&key, &bytes), Some(placed));
-            for end in 0..bytes.len() {
-                assert_ne!(read_placement(&key, &bytes[..end]), Some(placed));
-            }
-        }
-        let fact = VersionFact { version: Version(4), reign: 1, serial: 2, since: 3, runs: 4 };
-        assert_eq!(read_version(&4_u128.to_be_bytes(), &version(&fact)), Some(fact));
-        assert_eq!(read_former(&former(40.0, 5)), Some(40.0));
-    }
-}
+mod tests;
--- /dev/null
+++ b/peers/src/wire/tests.rs
@@ -0,0 +1,79 @@
+use super::*;
+use crate::Key;
+
+/// A word as a later program might send it: what is known under its numbers, and more.
+#[derive(Clone, PartialEq, Message)]
+struct LaterContent {
+    #[prost(string, tag = "1")]
+    name: String,
+    #[prost(uint64, tag = "2")]
+    boot: u64,
+    #[prost(fixed64, tag = "3")]
+    life: u64,
+    #[prost(uint64, tag = "4")]
+    counter: u64,
+    #[prost(bytes = "vec", optional, tag = "10")]
+    rumours: Option<Vec<u8>>,
+    #[prost(string, tag = "40")]
+    mood: String,
+    #[prost(bytes = "vec", optional, tag = "41")]
+    new_word: Option<Vec<u8>>,
+}
+
+fn keys() -> Keys {
+    Keys::only(Key::new(&[3; 32]).expect("long enough"))
+}
+
+fn later(rumours: Option<Vec<u8>>, new_word: Option<Vec<u8>>) -> Vec<u8> {
+    let (name, mood) = ("a".to_owned(), "bright".to_owned());
+    let content = LaterContent { name, boot: 5, life: 6, counter: 7, rumours, mood, new_word };
+    let (sealed, key) = (content.encode_to_vec(), keys().current);
+    let digest = key.digest(VERSION, &sealed).to_vec();
+    let mut frame = Frame { version: VERSION, key: Some(key.id), digest, sealed }.encode_to_vec();
+    // A field that this program's frames do not have: number 30, a varint.
+    frame.extend([0xf0, 0x01, 0x05]);
+    frame
+}
+
+#[test]
+fn what_a_later_program_adds_is_passed_over() {
+    let known = Content { name: "a".into(), boot: 5, life: 6, counter: 7, word: None };
+    let rumours = Content { word: Some(Word::Rumours(vec![1, 2])), ..known.clone() };
+    assert_eq!(open(&keys(), &later(Some(vec![1, 2]), None)), Ok(rumours));
+    // A word that it does not know says nothing, and is no fault.
+    assert_eq!(open(&keys(), &later(None, Some(vec![1]))), Ok(known));
+}
+
+#[test]
+fn fields_keep_their_numbers() {
+    let member = Member {
+        name: "a".into(),
+        address: ([127, 0, 0, 1], 9).into(),
+        boot: 5,
+        life: 6,
+        renewal: 1,
+        site: "n".into(),
+        configuration: Configuration { digest: [7; 32], order: 8 },
+    };
+    let content = Content {
+        name: "a".into(),
+        boot: 5,
+        life: 6,
+        counter: 7,
+        word: Some(Word::Hello(Identity::whole(&member))),
+    };
+    let written: String = content.encode_to_vec().iter().map(|byte| format!("{byte:02x}")).collect();
+    let digest = "07".repeat(32);
+    let identity = format!("0a016112047f0000011809200529060000000000000030013a016e4220{digest}4808");
+    assert_eq!(written, format!("0a01611005190600000000000000200732{:02x}{identity}", identity.len() / 2));
+}
+
+#[test]
+fn the_widest_word_is_no_larger_than_a_datagram() {
+    let name = "n".repeat(crate::LONGEST_NAME);
+    let page = Page { bytes: vec![1; room(&name)], more: true };
+    let content = Content { name, boot: u64::MAX, life: 1, counter: u64::MAX, word: Some(Word::Page(page)) };
+    let bytes = seal(&keys(), &content);
+    assert!((LARGEST - 8..=LARGEST).contains(&bytes.len()), "{} bytes", bytes.len());
+    assert_eq!(open(&keys(), &bytes), Ok(content));
+}
