Stories: a power loss, and a fleet that has come back whole, in one place each

Change: power_is_lost and all_stayed_since in stories/main.rs; ALL stands there once. List of tests: no difference.

--- a/cli/tests/stories/combined.rs
+++ b/cli/tests/stories/combined.rs
@@ -3,9 +3,10 @@
 use beaconflow_faults::{Disk, Fault, Leaves, Lifecycle, Rules, Shape, Version, Way, standing};
 
 use super::edge::site_is;
-use super::{all_know, all_know_but, all_stayed, all_there, serving, shape, shape_at, stay};
+use super::{
+    ALL, all_know, all_know_but, all_stayed, all_there, power_is_lost, serving, shape, shape_at, stay,
+};
 
-const ALL: [usize; 5] = [0, 1, 2, 3, 4];
 const SITES: [(&str, usize); 2] = [("north", 3), ("south", 2)];
 const SECOND: Version = Version { serial: 2, worth: 2.0 };
 
@@ -16,9 +17,7 @@
     fleet.roll(1, SECOND);
     all_know(&fleet, 40);
     let dark = fleet.record.step("the power is lost, and discovery with it");
-    fleet.discovery.goes_down();
-    fleet.kill(&ALL);
-    fleet.are_open(0);
+    power_is_lost(&mut fleet);
     fleet.start(&ALL, Disk::Kept);
     fleet.are_open(5);
     let half = fleet.all_stand_since(dark);
--- a/cli/tests/stories/main.rs
+++ b/cli/tests/stories/main.rs
@@ -12,6 +12,8 @@
 
 use beaconflow_faults::{Fleet, Plan, Rules, Shape, Together};
 
+/// The processes of a fleet, by number.
+const ALL: [usize; 5] = [0, 1, 2, 3, 4];
 const PROGRAM: &str = env!("CARGO_BIN_EXE_beaconflow");
 
 /// Five processes and six servers that know things together, in one site.
@@ -90,6 +92,20 @@
     }
 }
 
+/// The power is lost to all processes, and discovery with it; the servers have power of their own.
+fn power_is_lost(fleet: &mut Fleet) {
+    fleet.discovery.goes_down();
+    fleet.kill(&ALL);
+    fleet.are_open(0);
+}
+
+/// All processes serve again, and each client has come to stand since a place in the record, at the server where it was.
+fn all_stayed_since(fleet: &Fleet, since: usize, before: &BTreeMap<String, String>) {
+    fleet.are_open(ALL.len());
+    let after = fleet.all_stand_since(since);
+    stay(fleet, before, &after);
+}
+
 /// How most stories end: all clients stand, each where it was, and every rule was kept.
 fn all_stayed(fleet: Fleet, before: &BTreeMap<String, String>) {
     let after = fleet.all_stand();
--- a/cli/tests/stories/power.rs
+++ b/cli/tests/stories/power.rs
@@ -2,10 +2,11 @@
 
 use beaconflow_faults::{Ability, Disk, Fault, Lifecycle, Rules, Shape, Way};
 
-use super::{all_know, all_stayed, all_there, clients, serving, shape, stay};
+use super::{
+    ALL, all_know, all_stayed, all_stayed_since, all_there, clients, power_is_lost, serving, shape, stay,
+};
 use std::time::{Duration, Instant};
 
-const ALL: [usize; 5] = [0, 1, 2, 3, 4];
 const SERVERS: [usize; 6] = [0, 1, 2, 3, 4, 5];
 
 #[test]
@@ -24,13 +25,9 @@
     let (mut fleet, before) = serving(Shape { told: false, ..shape(12) }, 40);
     let dark =
         fleet.record.step("the power is lost: processes and discovery end; servers have power of their own");
-    fleet.discovery.goes_down();
-    fleet.kill(&ALL);
-    fleet.are_open(0);
+    power_is_lost(&mut fleet);
     fleet.start(&ALL, Disk::Kept);
-    fleet.are_open(5);
-    let after = fleet.all_stand_since(dark);
-    stay(&fleet, &before, &after);
+    all_stayed_since(&fleet, dark, &before);
     fleet.record.step("discovery is back");
     fleet.discovery.comes_back();
     fleet.finish(&Rules::default()).kept();
@@ -40,14 +37,10 @@
 fn processes_whose_disks_are_gone_serve_by_what_the_others_remember() {
     let (mut fleet, before) = serving(Shape { told: false, ..shape(13) }, 40);
     let dark = fleet.record.step("the power is lost, and with it three of five disks");
-    fleet.discovery.goes_down();
-    fleet.kill(&ALL);
-    fleet.are_open(0);
+    power_is_lost(&mut fleet);
     fleet.start(&[0, 1, 2], Disk::Lost);
     fleet.start(&[3, 4], Disk::Kept);
-    fleet.are_open(5);
-    let after = fleet.all_stand_since(dark);
-    stay(&fleet, &before, &after);
+    all_stayed_since(&fleet, dark, &before);
     fleet.discovery.comes_back();
     fleet.finish(&Rules::default()).kept();
 }
@@ -56,9 +49,7 @@
 fn a_second_power_loss_in_the_middle_of_recovery_changes_nothing() {
     let (mut fleet, before) = serving(Shape { told: false, ..shape(14) }, 40);
     fleet.record.step("the power is lost");
-    fleet.discovery.goes_down();
-    fleet.kill(&ALL);
-    fleet.are_open(0);
+    power_is_lost(&mut fleet);
     let again = fleet.record.step("it is back, and lost again while everybody is still asking");
     fleet.start(&ALL, Disk::Kept);
     for name in ["b0", "b1", "b2", "b3", "b4"] {
@@ -67,9 +58,7 @@
     fleet.kill(&ALL);
     let dark = fleet.record.step("and back");
     fleet.start(&ALL, Disk::Kept);
-    fleet.are_open(5);
-    let after = fleet.all_stand_since(dark);
-    stay(&fleet, &before, &after);
+    all_stayed_since(&fleet, dark, &before);
     fleet.discovery.comes_back();
     fleet.finish(&Rules::default()).kept();
 }
@@ -144,9 +133,7 @@
 fn disks_that_are_torn_or_another_processs_are_named_and_served_through() {
     let (mut fleet, before) = serving(Shape { told: false, ..shape(18) }, 40);
     fleet.record.step("the power is lost; one disk is torn, and one is another process's");
-    fleet.discovery.goes_down();
-    fleet.kill(&ALL);
-    fleet.are_open(0);
+    power_is_lost(&mut fleet);
     let memory = |number: usize| fleet.balancers[number].process.disk().join("memory");
     let torn = std::fs::read(memory(0)).expect("it was written");
     std::fs::write(memory(0), &torn[..torn.len() / 3]).expect("room");
@@ -156,9 +143,7 @@
     for name in ["b0", "b1"] {
         fleet.says(dark, name, "a file is not read");
     }
-    fleet.are_open(5);
-    let after = fleet.all_stand_since(dark);
-    stay(&fleet, &before, &after);
+    all_stayed_since(&fleet, dark, &before);
     fleet.discovery.comes_back();
     fleet.finish(&Rules::default()).kept();
 }
