The fleet's thread in short functions: one input at a time, one function for each kind

Cause: the handlers of peers' changes, of what the core saw, of the loop and of the set-up ran over a screen each, and the span in milliseconds was written out four times. Change: functions of their own; millis in fleet/mod.rs; two bare numbers are named constants. List of tests: no difference.

--- a/balancer/src/fleet/from_peers.rs
+++ b/balancer/src/fleet/from_peers.rs
@@ -1,12 +1,13 @@
 //! What the peers tell: what they added to what is known, and who of them is there.
 
+use beaconflow_affinity::{Placement, VersionFact};
 use beaconflow_edge::Evidence;
 use beaconflow_knowledge::{Change, Subject};
 use beaconflow_peers::Event as PeerEvent;
-use beaconflow_recovery::{Event as Way, Whom};
+use beaconflow_recovery::{Event as Way, PeerWord, Whom};
 
 use super::server_list::LIST_GOOD;
-use super::{Thread, carry, records, words};
+use super::{Millis, Thread, carry, records, words};
 use crate::core::{Event, KnownNews, TieNews};
 
 /// Once a process of the site has spoken up and nothing more has come for so long, it has told what it knows.
@@ -14,75 +15,100 @@
 /// Or so long after the first word. Guards against a fleet that always has news.
 const SETTLES_MOST: u64 = 600_000_000;
 
+/// What several changes come to together.
+#[derive(Default)]
+struct Gathered {
+    placements: Vec<Placement>,
+    versions: Vec<VersionFact>,
+    has_entries: bool,
+    has_lists: bool,
+}
+
 impl Thread {
     /// What peers added to what is known.
     pub(super) fn learnt(&mut self, changes: &[Change]) {
-        let (mut placements, mut versions) = (Vec::new(), Vec::new());
-        let (mut has_entries, mut has_lists) = (false, false);
+        let mut gathered = Gathered::default();
         for fact in changes.iter().filter_map(Change::after) {
-            let age = self.ms().saturating_sub(fact.witnessed);
             match carry::own(&fact) {
-                Some((carry::PLACED, key, bytes)) => placements.extend(records::read_placement(key, bytes)),
-                Some((carry::VERSION, key, bytes)) => versions.extend(records::read_version(key, bytes)),
-                Some((carry::WORD, _, bytes)) => {
-                    if let Some(word) = words::hear(bytes, age) {
-                        let is_here = word.site == self.file.site;
-                        self.way(Way::Peer(word));
-                        if is_here {
-                            self.settles();
-                        } else {
-                            self.way(Way::Answered(Whom::OtherSites));
-                        }
-                    }
-                }
-                Some((carry::UPLINK, _, bytes)) => {
-                    if let Some(says) = words::hear_uplink(bytes, age) {
-                        self.uplink(|uplink, now| uplink.take(now, Evidence::PeerSays(says)));
-                    }
-                }
-                Some((carry::JUDGED, _, bytes)) => {
-                    if let Some(one) = words::read_judged(bytes, fact.witnessed) {
-                        self.site.heard(one);
-                    }
-                }
-                Some((carry::LOAN, key, bytes)) if key == self.file.name.as_bytes() => {
-                    if let Some((from, number, clients)) = words::read_loan(bytes) {
-                        self.way(Way::Lent { from, number, clients });
-                    }
-                }
-                Some(_) => {}
-                None => match fact.subject {
-                    Subject::Listed(_) => has_entries = true,
-                    Subject::List => has_lists = true,
-                    Subject::Failures(key) => {
-                        let now = self.ms();
-                        let count = carry::with(&self.known, |known| known.knowledge.failures(key, now));
-                        self.core.tell(Event::Known(KnownNews::Failures(key, count)));
-                    }
-                    _ => {}
-                },
+                Some((kind, key, bytes)) => self.heard(kind, (key, bytes), fact.witnessed, &mut gathered),
+                None => self.heard_fact(&fact.subject, &mut gathered),
             }
         }
         // Guards against a process that serves before it knows what the others do: more may be on its way.
         self.settling = self.settling.map(|(_, most)| (self.now.saturating_add(SETTLES).min(most), most));
-        for placement in &placements {
+        for placement in &gathered.placements {
             self.keeps.placed(placement, self.ms());
         }
-        self.hand_over(&placements);
-        if !versions.is_empty() {
-            self.ties(TieNews::Versions(versions));
+        self.hand_over(&gathered.placements);
+        if !gathered.versions.is_empty() {
+            self.ties(TieNews::Versions(gathered.versions));
         }
-        if has_lists {
-            // One that had only its memory's list, or none, joins the life that the others know.
-            let now = self.ms();
-            let settled = carry::with(&self.known, |known| known.knowledge.settle_list(LIST_GOOD, now));
-            self.position = settled.filter(|_| self.position.is_some()).or(self.position);
+        if gathered.has_lists {
+            self.joins_life();
         }
-        if has_entries {
+        if gathered.has_entries {
             self.peers_list();
         }
     }
 
+    /// Something of a kind of this program's own.
+    fn heard(&mut self, kind: u32, (key, bytes): (&[u8], &[u8]), witnessed: Millis, gathered: &mut Gathered) {
+        let age = self.ms().saturating_sub(witnessed);
+        match kind {
+            carry::PLACED => gathered.placements.extend(records::read_placement(key, bytes)),
+            carry::VERSION => gathered.versions.extend(records::read_version(key, bytes)),
+            carry::WORD => words::hear(bytes, age).into_iter().for_each(|word| self.heard_peer(word)),
+            carry::UPLINK => {
+                if let Some(says) = words::hear_uplink(bytes, age) {
+                    self.uplink(|uplink, now| uplink.take(now, Evidence::PeerSays(says)));
+                }
+            }
+            carry::JUDGED => {
+                if let Some(one) = words::read_judged(bytes, witnessed) {
+                    self.site.heard(one);
+                }
+            }
+            carry::LOAN if key == self.file.name.as_bytes() => {
+                if let Some((from, number, clients)) = words::read_loan(bytes) {
+                    self.way(Way::Lent { from, number, clients });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// A peer has told how it stands on its way.
+    fn heard_peer(&mut self, peer: PeerWord) {
+        let is_here = peer.site == self.file.site;
+        self.way(Way::Peer(peer));
+        if is_here {
+            self.settles();
+        } else {
+            self.way(Way::Answered(Whom::OtherSites));
+        }
+    }
+
+    /// A fact of a kind that the knowledge reads itself.
+    fn heard_fact(&mut self, subject: &Subject, gathered: &mut Gathered) {
+        match subject {
+            Subject::Listed(_) => gathered.has_entries = true,
+            Subject::List => gathered.has_lists = true,
+            Subject::Failures(key) => {
+                let (key, now) = (*key, self.ms());
+                let count = carry::with(&self.known, |known| known.knowledge.failures(key, now));
+                self.core.tell(Event::Known(KnownNews::Failures(key, count)));
+            }
+            _ => {}
+        }
+    }
+
+    /// One that had only its memory's list, or none, joins the life that the others know.
+    fn joins_life(&mut self) {
+        let now = self.ms();
+        let settled = carry::with(&self.known, |known| known.knowledge.settle_list(LIST_GOOD, now));
+        self.position = settled.filter(|_| self.position.is_some()).or(self.position);
+    }
+
     /// The site's processes have begun to tell what they know.
     pub(super) fn settles(&mut self) {
         if !self.is_settled && self.settling.is_none() {
--- a/balancer/src/fleet/mod.rs
+++ b/balancer/src/fleet/mod.rs
@@ -26,6 +26,8 @@
 mod uplink;
 mod words;
 
+use std::time::Duration;
+
 pub use handle::{Look, Way};
 use setup::origin;
 pub use setup::{Fleet, prepare};
@@ -33,3 +35,8 @@
 
 /// A moment of the program's clock: Unix time as it was at the start, in milliseconds; or a span of it.
 type Millis = u64;
+
+/// A span in milliseconds; one that is too long to be counted is as long as can be.
+fn millis(span: Duration) -> Millis {
+    Millis::try_from(span.as_millis()).unwrap_or(Millis::MAX)
+}
--- a/balancer/src/fleet/observed.rs
+++ b/balancer/src/fleet/observed.rs
@@ -1,7 +1,7 @@
 //! What the core saw: kept, told to the peers, and weighed.
 
 use beaconflow::api::Outcome;
-use beaconflow_affinity::Placement;
+use beaconflow_affinity::{Placement, VersionFact};
 use beaconflow_edge::Outcome::{Answered, Failed};
 use beaconflow_edge::{Evidence, Judged};
 use beaconflow_knowledge::{Evidence as Weighed, Seen as Sight, Subject, Value};
@@ -10,13 +10,17 @@
 
 use super::server_list::LIST_GOOD;
 use super::uplink::Uplink;
-use super::{Millis, Thread, carry, records, site, words};
+use super::{Millis, Thread, carry, millis, records, site, words};
 use crate::core::{Seen, Witness};
 
 /// What is known of a server is good for so long.
 const STANDING_GOOD: Millis = 60_000;
 /// What a server was found to be.
 const JUDGED_GOOD: Millis = 600_000;
+/// What a cold server was sent counts for half after so many milliseconds.
+const COLD_HALF_LIFE_MS: f64 = 10_000.0;
+/// Evidence on a server weighs no more than so many sightings.
+const MOST_WEIGHT: f64 = 4.0;
 
 impl Thread {
     /// What the core saw.
@@ -28,11 +32,7 @@
                 self.uplink(Uplink::hears_nothing);
             }
             Witness::Placed(placements) => placements.iter().for_each(|one| self.placed(one)),
-            Witness::Runs(fact) => {
-                let (key, value) = (fact.version.0.to_be_bytes(), records::version(&fact));
-                self.keeps.remember(records::keep(records::VERSION, &key, value.clone(), self.ms()));
-                self.enter(carry::VERSION, (key.to_vec(), true), value, LIST_GOOD);
-            }
+            Witness::Runs(fact) => self.runs(&fact),
             Witness::Remembers(held) => self.look.placements = Some(held),
             Witness::Standing(standing) => {
                 self.standing = standing;
@@ -49,23 +49,32 @@
             }
             Witness::SentAway(server) => self.judged(&server, Judged::Drains),
             Witness::Wants(arrival) => self.way(Way::Arrived(arrival)),
-            Witness::SentCold(server) => {
-                let (subject, now) = (Subject::ColdSent(server.name.to_string()), self.ms());
-                carry::with(&self.known, |known| {
-                    let sent = known.knowledge.get(&subject, &known.knowledge.me().name.clone(), now);
-                    let before = match sent.map(|fact| (fact.value, fact.witnessed)) {
-                        Some((Value::ColdSent(sent), at)) => {
-                            sent * 0.5_f64.powf((now - at.min(now)) as f64 / 10_000.0)
-                        }
-                        _ => 0.0,
-                    };
-                    let _ =
-                        known.knowledge.witness(&subject, &Value::ColdSent(before + 1.0), STANDING_GOOD, now);
-                });
-            }
+            Witness::SentCold(server) => self.sent_cold(&server),
         }
     }
 
+    /// A version of the configuration runs here.
+    fn runs(&mut self, fact: &VersionFact) {
+        let (key, value) = (fact.version.0.to_be_bytes(), records::version(fact));
+        self.keeps.remember(records::keep(records::VERSION, &key, value.clone(), self.ms()));
+        self.enter(carry::VERSION, (key.to_vec(), true), value, LIST_GOOD);
+    }
+
+    /// A cold server was sent one more; what it was sent before counts for less and less.
+    fn sent_cold(&self, server: &Seen) {
+        let (subject, now) = (Subject::ColdSent(server.name.to_string()), self.ms());
+        carry::with(&self.known, |known| {
+            let sent = known.knowledge.get(&subject, &known.knowledge.me().name.clone(), now);
+            let before = match sent.map(|fact| (fact.value, fact.witnessed)) {
+                Some((Value::ColdSent(sent), at)) => {
+                    sent * 0.5_f64.powf((now - at.min(now)) as f64 / COLD_HALF_LIFE_MS)
+                }
+                _ => 0.0,
+            };
+            let _ = known.knowledge.witness(&subject, &Value::ColdSent(before + 1.0), STANDING_GOOD, now);
+        });
+    }
+
     /// Clients of the whole fleet, taken from what stands here: processes bear alike.
     fn fleet_clients(&self) -> f64 {
         self.standing as f64 * carry::with(&self.known, |known| known.members) as f64
@@ -73,7 +82,7 @@
 
     fn placed(&mut self, placement: &Placement) {
         self.keeps.placed(placement, self.ms());
-        let life = u64::try_from(self.file.affinity.keep.as_millis()).unwrap_or(Millis::MAX);
+        let life = millis(self.file.affinity.keep);
         let key = placement.key.0.to_be_bytes().to_vec();
         self.enter(carry::PLACED, (key, false), records::placement(placement), life);
         // Guards against a client that comes to another process before the next round.
@@ -138,7 +147,7 @@
                     if seen == Sight::Well && now.saturating_sub(at) < STANDING_GOOD / 4 {
                         return;
                     }
-                    (weight + 1.0).min(4.0)
+                    (weight + 1.0).min(MOST_WEIGHT)
                 }
                 _ => 1.0,
             };
--- a/balancer/src/fleet/remembered.rs
+++ b/balancer/src/fleet/remembered.rs
@@ -7,7 +7,7 @@
 
 use super::keep::Restored;
 use super::server_list::{LIST_GOOD, believed, digest_of};
-use super::{Millis, Thread, carry, records};
+use super::{Thread, carry, millis, records};
 use crate::core::TieNews;
 use crate::farm::Listed;
 
@@ -61,7 +61,7 @@
 
     /// Has those who remember nothing find a placement of before here.
     fn recall(&self, placement: &Placement) {
-        let life = u64::try_from(self.file.affinity.keep.as_millis()).unwrap_or(Millis::MAX);
+        let life = millis(self.file.affinity.keep);
         let subject = carry::subject(carry::PLACED, placement.key.0.to_be_bytes().to_vec(), false);
         let (value, seen) =
             (Value::Unknown(records::placement(placement)), u64::from(placement.seen_s) * 1_000);
--- a/balancer/src/fleet/setup.rs
+++ b/balancer/src/fleet/setup.rs
@@ -13,7 +13,6 @@
 use crossbeam_channel::{Receiver, bounded, unbounded};
 use tracing::info;
 
-use super::Millis;
 use super::carry::{self, Carried, Shared};
 use super::gather::{self, Gathering};
 use super::handle::{Look, Way};
@@ -21,6 +20,7 @@
 use super::site::Site;
 use super::thread::{Inputs, Thread};
 use super::uplink::{self, Uplink};
+use super::{Millis, millis};
 use crate::clock::Clock;
 use crate::core::{Handle, Tie, Ties, Witness};
 use crate::operator::{self, FarmSource};
@@ -66,22 +66,9 @@
     let uplink = file.edge.on.then(|| Uplink::new(set, clock.now() / 1_000_000, restored.uplink));
     let uplink = uplink.transpose()?;
     let (tell, witnesses) = unbounded();
+    let now = clock.now() / 1_000_000;
     let ties = file.affinity.on.then(|| {
-        let entries = file.affinity.most;
-        let limits = Limits {
-            bound: Bound { entries, bytes: usize::MAX },
-            life_s: u32::try_from(file.affinity.keep.as_secs()).unwrap_or(u32::MAX),
-            away_s: AWAY_S,
-            home_most: 0,
-        };
-        let mut memory = Placements::new(limits, origin(&file.name, boot), driver::random());
-        memory.balancer_died(origin(&file.name, boot.saturating_sub(1)));
-        let now = clock.now() / 1_000_000;
-        for fact in &restored.versions {
-            memory.heard_version(fact, now);
-        }
-        let adopted = memory.adopt(version, file.affinity.serial, now);
-        info!(part = "affinity", version = %version, serial = file.affinity.serial, how = ?adopted, "version runs here");
+        let memory = placements(&file, (boot, version), &restored, now);
         Ties::new(memory, file.affinity.keep)
     });
     let turns = file.borne.is_some();
@@ -103,6 +90,30 @@
     Ok((fleet, Tie { tell, gather: Some(most), turns, ties }))
 }
 
+/// Affinity's memory as this process starts with it: without placements, with the versions that it remembers.
+fn placements(
+    file: &operator::Fleet,
+    (boot, version): (u64, Version),
+    restored: &Restored,
+    now: Millis,
+) -> Placements {
+    let limits = Limits {
+        bound: Bound { entries: file.affinity.most, bytes: usize::MAX },
+        life_s: u32::try_from(file.affinity.keep.as_secs()).unwrap_or(u32::MAX),
+        away_s: AWAY_S,
+        home_most: 0,
+    };
+    let mut memory = Placements::new(limits, origin(&file.name, boot), driver::random());
+    memory.balancer_died(origin(&file.name, boot.saturating_sub(1)));
+    for fact in &restored.versions {
+        memory.heard_version(fact, now);
+    }
+    let serial = file.affinity.serial;
+    let adopted = memory.adopt(version, serial, now);
+    info!(part = "affinity", version = %version, serial, how = ?adopted, "version runs here");
+    memory
+}
+
 /// A process in one of its lives, as placements name it.
 pub(super) fn origin(name: &str, boot: u64) -> u64 {
     digest(&format!("{name} {boot}"))
@@ -135,11 +146,8 @@
     /// Runs it on a thread of its own, with the peers' on another.
     pub fn start(self, core: Handle) -> Result<Way, String> {
         let (news, changes) = unbounded();
-        let bounds = carry::bounds(
-            self.file.affinity.most,
-            u64::try_from(self.file.affinity.keep.as_millis()).unwrap_or(Millis::MAX),
-            driver::random(),
-        );
+        let bounds =
+            carry::bounds(self.file.affinity.most, millis(self.file.affinity.keep), driver::random());
         let origin = Origin { name: self.file.name.clone(), boot: self.boot };
         let known = Carried::shared(Knowledge::new(origin, bounds), news);
         let (tell, events) = bounded(EVENTS);
--- a/balancer/src/fleet/thread.rs
+++ b/balancer/src/fleet/thread.rs
@@ -40,12 +40,36 @@
     Learnt(Vec<Change>),
     Peers(peers::Event),
     Asked(Ask),
-    /// The peers' thread is gone, or whoever could ask.
-    NoMorePeers,
-    NoMoreAsks,
+    CoreLeft,
     Nothing,
 }
 
+impl Inputs {
+    /// What comes next, if it comes within a time.
+    fn next(&mut self, wait: Duration) -> Came {
+        // Guards against a loop round an end that is ready at all times: an input that has ended is left out.
+        select! {
+            recv(self.witnesses) -> seen => seen.map_or(Came::CoreLeft, Came::Seen),
+            recv(self.changes) -> changes => changes.map_or(Came::Nothing, Came::Learnt),
+            recv(self.events) -> event => event.map_or_else(
+                |_| {
+                    self.events = never();
+                    Came::Nothing
+                },
+                Came::Peers,
+            ),
+            recv(self.asked) -> ask => ask.map_or_else(
+                |_| {
+                    self.asked = never();
+                    Came::Nothing
+                },
+                Came::Asked,
+            ),
+            default(wait) => Came::Nothing,
+        }
+    }
+}
+
 /// The thread's own.
 pub(super) struct Thread {
     /// The present moment, in nanoseconds as the core counts them.
@@ -98,19 +122,7 @@
         loop {
             self.now = self.clock.now();
             self.look_after();
-            let due = [self.gathering.next(), self.settling.map(|(at, _)| at), Some(self.tell_at)];
-            let due = due.into_iter().flatten().min().unwrap_or(u64::MAX);
-            let wait = Duration::from_nanos(due.saturating_sub(self.now)).min(LONGEST_WAIT);
-            let came = select! {
-                recv(inputs.witnesses) -> seen => match seen {
-                    Ok(seen) => Came::Seen(seen),
-                    Err(_) => return self.end(),
-                },
-                recv(inputs.changes) -> changes => changes.map_or(Came::Nothing, Came::Learnt),
-                recv(inputs.events) -> event => event.map_or(Came::NoMorePeers, Came::Peers),
-                recv(inputs.asked) -> ask => ask.map_or(Came::NoMoreAsks, Came::Asked),
-                default(wait) => Came::Nothing,
-            };
+            let came = inputs.next(self.wait());
             // Guards against a success that is dated before the failure that it makes void: the wait may have been long.
             self.now = self.clock.now();
             match came {
@@ -118,14 +130,20 @@
                 Came::Learnt(changes) => self.learnt(&changes),
                 Came::Peers(event) => self.peers_say(event),
                 Came::Asked(ask) => self.follow(ask),
-                // Guards against a loop round an end that is ready at all times.
-                Came::NoMorePeers => inputs.events = never(),
-                Came::NoMoreAsks => inputs.asked = never(),
+                Came::CoreLeft => return self.end(),
                 Came::Nothing => {}
             }
         }
     }
 
+    /// How long nothing is due.
+    fn wait(&self) -> Duration {
+        let due = [self.gathering.next(), self.settling.map(|(at, _)| at), Some(self.tell_at)];
+        let due = due.into_iter().flatten().min().unwrap_or(u64::MAX);
+        Duration::from_nanos(due.saturating_sub(self.now)).min(LONGEST_WAIT)
+    }
+
+    /// The present moment, in milliseconds.
     pub(super) fn ms(&self) -> Millis {
         self.now / 1_000_000
     }
--- a/balancer/src/fleet/uplink.rs
+++ b/balancer/src/fleet/uplink.rs
@@ -10,7 +10,7 @@
 use beaconflow_peers::Member;
 use tracing::{info, warn};
 
-use super::Millis;
+use super::{Millis, millis};
 use crate::operator::{self, EdgeWord};
 
 /// A word of the operator's file holds for as long as it stands there.
@@ -46,8 +46,7 @@
 
 /// What the machine is told of its site.
 pub(super) fn config(fleet: &operator::Fleet, seed: u64) -> Config {
-    let ms = |span: Duration| Millis::try_from(span.as_millis()).unwrap_or(Millis::MAX);
-    let (usual, patience_ms) = (Config::default(), ms(fleet.edge.patience));
+    let (usual, patience_ms) = (Config::default(), millis(fleet.edge.patience));
     let within = |span: Millis| span.min(patience_ms);
     Config {
         site: fleet.site.clone(),
@@ -58,7 +57,7 @@
         steady_ms: within(usual.steady_ms),
         damp_cap_ms: within(usual.damp_cap_ms),
         patience_ms,
-        trust_for_ms: ms(fleet.edge.trust),
+        trust_for_ms: millis(fleet.edge.trust),
         ..usual
     }
 }
