--- a/balancer/src/admin/farm.rs
+++ b/balancer/src/admin/farm.rs
@@ -71,7 +71,7 @@
 }
 
 /// What this process knows together with the others.
-fn processes(look: &fleet::Look) -> Value {
+fn processes(look: &fleet::Status) -> Value {
     json!({
         "name": look.name, "site": look.site, "boot": look.boot, "processes": look.processes.0,
         "size": look.processes.1, "recovery": look.recovery, "deferred": look.deferred, "failing": look.failing, "uplink": look.uplink, "placements": look.placements,
--- a/balancer/src/fleet/from_peers.rs
+++ b/balancer/src/fleet/from_peers.rs
@@ -4,7 +4,7 @@
 use beaconflow_edge::Evidence;
 use beaconflow_knowledge::{Change, Subject};
 use beaconflow_peers::Event as PeerEvent;
-use beaconflow_recovery::{Event as Way, PeerWord, Whom};
+use beaconflow_recovery::{Event as RecoveryEvent, PeerWord, Whom};
 
 use super::server_list::LIST_GOOD;
 use super::{Millis, Thread, carry, records, words};
@@ -26,7 +26,7 @@
 
 impl Thread {
     /// What peers added to what is known.
-    pub(super) fn learnt(&mut self, changes: &[Change]) {
+    pub(super) fn take_changes(&mut self, changes: &[Change]) {
         let mut gathered = Gathered::default();
         for fact in changes.iter().filter_map(Change::after) {
             match carry::own(&fact) {
@@ -37,11 +37,11 @@
         // Guards against a process that serves before it knows what the others do: more may be on its way.
         self.settling = self.settling.map(|(_, most)| (self.now.saturating_add(SETTLES).min(most), most));
         for placement in &gathered.placements {
-            self.keeps.placed(placement, self.ms());
+            self.memory.placed(placement, self.ms());
         }
         self.hand_over(&gathered.placements);
         if !gathered.versions.is_empty() {
-            self.ties(TieNews::Versions(gathered.versions));
+            self.tell_affinity(TieNews::Versions(gathered.versions));
         }
         if gathered.has_lists {
             self.joins_life();
@@ -70,7 +70,7 @@
             }
             carry::LOAN if key == self.file.name.as_bytes() => {
                 if let Some((from, number, clients)) = words::read_loan(bytes) {
-                    self.way(Way::Lent { from, number, clients });
+                    self.recovery_event(RecoveryEvent::Lent { from, number, clients });
                 }
             }
             _ => {}
@@ -80,11 +80,11 @@
     /// A peer has told how it stands on its way.
     fn heard_peer(&mut self, peer: PeerWord) {
         let is_here = peer.site == self.file.site;
-        self.way(Way::Peer(peer));
+        self.recovery_event(RecoveryEvent::Peer(peer));
         if is_here {
             self.settles();
         } else {
-            self.way(Way::Answered(Whom::OtherSites));
+            self.recovery_event(RecoveryEvent::Answered(Whom::OtherSites));
         }
     }
 
@@ -121,18 +121,18 @@
     pub(super) fn settled(&mut self) {
         (self.settling, self.is_settled) = (None, true);
         self.peers_list();
-        self.way(Way::Answered(Whom::SitePeers));
+        self.recovery_event(RecoveryEvent::Answered(Whom::SitePeers));
     }
 
     /// What the peers' thread tells has stood in the log already.
-    pub(super) fn peers_say(&mut self, event: PeerEvent) {
+    pub(super) fn take_peer_event(&mut self, event: PeerEvent) {
         if let PeerEvent::Down(was) | PeerEvent::Restarted { was, .. } = &event {
-            self.ties(TieNews::Died(super::origin(&was.name, was.boot)));
+            self.tell_affinity(TieNews::Died(super::origin(&was.name, was.boot)));
         }
         match event {
             PeerEvent::BootRaised(boot) => {
                 self.boot = boot;
-                self.look.boot = boot;
+                self.status.boot = boot;
                 carry::with(&self.known, |known| known.knowledge.renumber(boot));
             }
             PeerEvent::Up(_) | PeerEvent::Restarted { .. } | PeerEvent::Changed { .. } => {
--- a/balancer/src/fleet/handle.rs
+++ b/balancer/src/fleet/handle.rs
@@ -11,7 +11,7 @@
 
 /// What people are shown of the fleet.
 #[derive(Clone, Debug, Default)]
-pub struct Look {
+pub struct Status {
     /// This process and its site.
     pub name: String,
     /// Its site.
@@ -40,22 +40,22 @@
 
 /// The way to the fleet's thread.
 #[derive(Clone)]
-pub struct Way {
-    pub(super) asks: Sender<Ask>,
-    pub(super) shown: Arc<Mutex<Look>>,
+pub struct FleetHandle {
+    pub(super) commands: Sender<Command>,
+    pub(super) shown: Arc<Mutex<Status>>,
 }
 
-/// What is asked of the thread.
-pub(super) enum Ask {
+/// What the thread is told to do.
+pub(super) enum Command {
     /// The operator's file says something else.
     Follow(Box<operator::Fleet>),
     /// The configuration says something else of routing from now on.
     Routes(Version),
 }
 
-impl Way {
+impl FleetHandle {
     /// What people are shown.
-    pub fn look(&self) -> Look {
+    pub fn look(&self) -> Status {
         self.shown.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
@@ -63,12 +63,12 @@
     pub fn routes(&self, setup: &Setup, farm: &FarmSource) {
         // A setup that was served with is sound.
         if let Ok(settings) = setup.module() {
-            let _ = self.asks.send(Ask::Routes(version(&settings, Some(farm))));
+            let _ = self.commands.send(Command::Routes(version(&settings, Some(farm))));
         }
     }
 
     /// Takes over of a file what can change while the program runs.
     pub fn follow(&self, file: operator::Fleet) {
-        let _ = self.asks.send(Ask::Follow(Box::new(file)));
+        let _ = self.commands.send(Command::Follow(Box::new(file)));
     }
 }
--- a/balancer/src/fleet/keep.rs
+++ b/balancer/src/fleet/keep.rs
@@ -36,7 +36,7 @@
 }
 
 /// Where it is written, if anywhere.
-pub(super) struct Keeps {
+pub(super) struct MemoryWriter {
     writer: Option<Writer>,
     path: PathBuf,
     most: u64,
@@ -49,10 +49,17 @@
 }
 
 /// Opens the memory. Whatever is wrong with it is said once and served through.
-pub(super) fn open(file: &operator::Fleet, wall: Millis) -> (Keeps, Restored) {
+pub(super) fn open(file: &operator::Fleet, wall: Millis) -> (MemoryWriter, Restored) {
     let life_s = u32::try_from(file.affinity.keep.as_secs()).unwrap_or(u32::MAX);
-    let none =
-        |path| Keeps { writer: None, path, most: 0, life_s, placed: HashMap::new(), is_full: false, due: 0 };
+    let none = |path| MemoryWriter {
+        writer: None,
+        path,
+        most: 0,
+        life_s,
+        placed: HashMap::new(),
+        is_full: false,
+        due: 0,
+    };
     let Some(set) = &file.memory else { return (none(PathBuf::new()), Restored::default()) };
     let (memory, found) = match memory::open(&set.path, &file.name, wall) {
         Ok(opened) => opened,
@@ -87,7 +94,7 @@
     let writer =
         Writer::spawn(memory).inspect_err(|why| error!(part = "memory", why, "nothing is kept")).ok();
     let placed = restored.placements.iter().map(|one| (one.key.0, one.seen_s)).collect();
-    (Keeps { writer, most: set.most, placed, ..none(set.path.clone()) }, restored)
+    (MemoryWriter { writer, most: set.most, placed, ..none(set.path.clone()) }, restored)
 }
 
 impl Restored {
@@ -123,7 +130,7 @@
     }
 }
 
-impl Keeps {
+impl MemoryWriter {
     /// Whether anything is kept.
     pub(super) fn is_kept(&self) -> bool {
         self.writer.as_ref().is_some_and(|writer| !writer.counts().ailing)
--- a/balancer/src/fleet/mod.rs
+++ b/balancer/src/fleet/mod.rs
@@ -28,7 +28,7 @@
 
 use std::time::Duration;
 
-pub use handle::{Look, Way};
+pub use handle::{FleetHandle as Way, Status};
 use setup::origin;
 pub use setup::{Fleet, prepare};
 use thread::Thread;
--- a/balancer/src/fleet/observed.rs
+++ b/balancer/src/fleet/observed.rs
@@ -5,7 +5,7 @@
 use beaconflow_edge::Outcome::{Answered, Failed};
 use beaconflow_edge::{Evidence, Judged};
 use beaconflow_knowledge::{Evidence as Weighed, Seen as Sight, Subject, Value};
-use beaconflow_recovery::{Event as Way, Whom};
+use beaconflow_recovery::{Event as RecoveryEvent, Whom};
 use tracing::warn;
 
 use super::server_list::LIST_GOOD;
@@ -24,20 +24,20 @@
 
 impl Thread {
     /// What the core saw.
-    pub(super) fn witnessed(&mut self, seen: Witness) {
+    pub(super) fn take_observation(&mut self, seen: Witness) {
         match seen {
             Witness::List(list, known) => self.listed(list, known),
             Witness::Deaf => {
-                self.way(Way::Failed(Whom::Discovery));
+                self.recovery_event(RecoveryEvent::Failed(Whom::Discovery));
                 self.uplink(Uplink::hears_nothing);
             }
             Witness::Placed(placements) => placements.iter().for_each(|one| self.placed(one)),
             Witness::Runs(fact) => self.runs(&fact),
-            Witness::Remembers(held) => self.look.placements = Some(held),
+            Witness::Remembers(held) => self.status.placements = Some(held),
             Witness::Standing(standing) => {
                 self.standing = standing;
                 if self.gathering.recovery().may_remember() {
-                    self.keeps.remember(records::former(self.fleet_clients(), self.ms()));
+                    self.memory.remember(records::former(self.fleet_clients(), self.ms()));
                 }
             }
             Witness::Passed(server, key, how) => {
@@ -48,7 +48,7 @@
                 }
             }
             Witness::SentAway(server) => self.judged(&server, Judged::Drains),
-            Witness::Wants(arrival) => self.way(Way::Arrived(arrival)),
+            Witness::Wants(arrival) => self.recovery_event(RecoveryEvent::Arrived(arrival)),
             Witness::SentCold(server) => self.sent_cold(&server),
         }
     }
@@ -56,7 +56,7 @@
     /// A version of the configuration runs here.
     fn runs(&mut self, fact: &VersionFact) {
         let (key, value) = (fact.version.0.to_be_bytes(), records::version(fact));
-        self.keeps.remember(records::keep(records::VERSION, &key, value.clone(), self.ms()));
+        self.memory.remember(records::keep(records::VERSION, &key, value.clone(), self.ms()));
         self.enter(carry::VERSION, (key.to_vec(), true), value, LIST_GOOD);
     }
 
@@ -81,7 +81,7 @@
     }
 
     fn placed(&mut self, placement: &Placement) {
-        self.keeps.placed(placement, self.ms());
+        self.memory.placed(placement, self.ms());
         let life = millis(self.file.affinity.keep);
         let key = placement.key.0.to_be_bytes().to_vec();
         self.enter(carry::PLACED, (key, false), records::placement(placement), life);
--- a/balancer/src/fleet/recovering.rs
+++ b/balancer/src/fleet/recovering.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use beaconflow_recovery::{self as recovery, Event as Way, Whom};
+use beaconflow_recovery::{self as recovery, Event as RecoveryEvent, Whom};
 
 use super::gather::Wanted;
 use super::{Millis, Thread, carry, words};
@@ -16,7 +16,7 @@
 
 impl Thread {
     /// Tells the machine of recovery, and does what it wants.
-    pub(super) fn way(&mut self, event: Way) {
+    pub(super) fn recovery_event(&mut self, event: RecoveryEvent) {
         let wanted = self.gathering.take(self.now, wall(), event);
         self.want(wanted);
     }
@@ -29,7 +29,7 @@
                 Wanted::Serve(how) => self.serve(how),
                 Wanted::Admit(id) => self.core.tell(Event::Known(KnownNews::Admit(id))),
                 Wanted::Defer(id, after) => {
-                    self.look.deferred += 1;
+                    self.status.deferred += 1;
                     let after = Duration::from_nanos(after);
                     self.core.tell(Event::Known(KnownNews::Defer(id, after)));
                 }
@@ -46,17 +46,17 @@
     /// answered.
     fn ask(&mut self, whom: Whom) {
         match whom {
-            Whom::SitePeers if self.is_settled => self.way(Way::Answered(whom)),
+            Whom::SitePeers if self.is_settled => self.recovery_event(RecoveryEvent::Answered(whom)),
             Whom::SitePeers | Whom::OtherSites => self.peers.say(),
             Whom::Discovery => {}
-            Whom::Store => self.way(Way::Failed(whom)),
+            Whom::Store => self.recovery_event(RecoveryEvent::Failed(whom)),
         }
     }
 
     /// Shows the core the list as it is believed; it counts there only as long as it knows none.
     pub(super) fn show_list(&mut self) {
         let entry = |entry: recovery::Entry| {
-            let known = self.farm.get(&entry.name)?;
+            let known = self.servers.get(&entry.name)?;
             let lifecycle = match entry.lifecycle {
                 recovery::Lifecycle::Ready => Lifecycle::Serving,
                 recovery::Lifecycle::Draining => Lifecycle::Draining,
@@ -75,7 +75,7 @@
     /// Servers that drained when they were last heard of, and that a list calls ready whose teller may have forgotten.
     pub(super) fn hold_drains(&mut self) {
         let drains = self.gathering.recovery().servers().filter(|entry| {
-            let told = self.farm.get(&entry.name).map(|listed| listed.lifecycle);
+            let told = self.servers.get(&entry.name).map(|listed| listed.lifecycle);
             entry.lifecycle == recovery::Lifecycle::Draining && told == Some(Lifecycle::Serving)
         });
         let drains: BTreeSet<String> = drains.map(|entry| entry.name).collect();
--- a/balancer/src/fleet/remembered.rs
+++ b/balancer/src/fleet/remembered.rs
@@ -2,7 +2,7 @@
 
 use beaconflow_affinity::Placement;
 use beaconflow_knowledge::{Position, Told, Value};
-use beaconflow_recovery::{self as recovery, Event as Way, Kind, Source, Verdict};
+use beaconflow_recovery::{self as recovery, Event as RecoveryEvent, Kind, Source, Verdict};
 use tracing::info;
 
 use super::keep::Restored;
@@ -38,14 +38,14 @@
             borne: None,
         });
         let remembered = restored.list.map(|(list, life)| {
-            self.farm = list.instances.iter().map(|one| (one.instance_id.clone(), one.clone())).collect();
+            self.servers = list.instances.iter().map(|one| (one.instance_id.clone(), one.clone())).collect();
             Position { life, generation: list.generation }
         });
-        self.way(Way::Started { boot: self.boot, memory });
+        self.recovery_event(RecoveryEvent::Started { boot: self.boot, memory });
         // Those who remember nothing start from it too. Nobody takes it for discovery's own word.
         let list = self.gathering.recovery().verdict(Kind::List);
         if let Some(position) = remembered.filter(|_| list == Verdict::Hint(1.0)) {
-            let entries: Vec<Listed> = self.farm.values().cloned().collect();
+            let entries: Vec<Listed> = self.servers.values().cloned().collect();
             self.enter_entries(position, &entries);
         }
         let verdict = self.gathering.recovery().verdict(Kind::Placements);
@@ -72,6 +72,6 @@
     }
 
     pub(super) fn hand_over(&self, placements: &[Placement]) {
-        placements.chunks(AT_ONCE).for_each(|some| self.ties(TieNews::Placements(some.to_vec())));
+        placements.chunks(AT_ONCE).for_each(|some| self.tell_affinity(TieNews::Placements(some.to_vec())));
     }
 }
--- a/balancer/src/fleet/server_list.rs
+++ b/balancer/src/fleet/server_list.rs
@@ -2,7 +2,7 @@
 
 use beaconflow_edge::Evidence;
 use beaconflow_knowledge::{Lifecycle as KnownAs, Listed as KnownEntry, Position, Subject, Told, Value};
-use beaconflow_recovery::{self as recovery, Event as Way, Source};
+use beaconflow_recovery::{self as recovery, Event as RecoveryEvent, Source};
 
 use super::uplink::Uplink;
 use super::{Millis, Thread, carry, records};
@@ -15,16 +15,16 @@
     /// A list was taken in by the core.
     pub(super) fn listed(&mut self, list: List, known: bool) {
         if list.reset && !known {
-            self.farm.clear();
+            self.servers.clear();
         }
         for one in &list.instances {
-            self.farm.insert(one.instance_id.clone(), one.clone());
+            self.servers.insert(one.instance_id.clone(), one.clone());
         }
         let (now, whole) = (self.ms(), self.whole(list.generation));
         if known {
             // The operator's own list counts from the start.
             self.uplink(Uplink::has_known_list);
-            self.way(Way::List(believed(&whole, 0, Source::Known)));
+            self.recovery_event(RecoveryEvent::List(believed(&whole, 0, Source::Known)));
             return self.hold_drains();
         }
         let told = Told { generation: list.generation, digest: digest_of(&whole), whole: list.reset };
@@ -34,8 +34,8 @@
         if let Some(position) = self.position {
             self.enter_entries(position, &list.instances);
         }
-        self.keeps.remember(records::list(&whole, life, now));
-        self.way(Way::List(believed(&whole, life, Source::Discovery)));
+        self.memory.remember(records::list(&whole, life, now));
+        self.recovery_event(RecoveryEvent::List(believed(&whole, life, Source::Discovery)));
         self.uplink(|uplink, now| uplink.take(now, Evidence::WatchStands));
     }
 
@@ -69,7 +69,7 @@
 
     /// The list as it stands here, whole.
     fn whole(&self, generation: u64) -> List {
-        List { generation, reset: true, instances: self.farm.values().cloned().collect() }
+        List { generation, reset: true, instances: self.servers.values().cloned().collect() }
     }
 
     /// The peers' list, as a starting point where discovery has told none.
@@ -85,12 +85,12 @@
         let entries = carry::with(&self.known, |known| known.knowledge.list(now));
         let latest = entries.iter().map(|(_, entry)| entry.position).max().unwrap_or_default();
         for (name, entry) in entries {
-            let listed = listed(name.clone(), &entry, self.farm.get(&name));
-            self.farm.insert(name, listed);
+            let listed = listed(name.clone(), &entry, self.servers.get(&name));
+            self.servers.insert(name, listed);
         }
         let Position { life, generation } = latest;
         let list = self.whole(generation);
-        self.way(Way::List(believed(&list, life, Source::Peer)));
+        self.recovery_event(RecoveryEvent::List(believed(&list, life, Source::Peer)));
         self.show_list();
     }
 }
--- a/balancer/src/fleet/setup.rs
+++ b/balancer/src/fleet/setup.rs
@@ -15,8 +15,8 @@
 
 use super::carry::{self, Carried, Shared};
 use super::gather::{self, Gathering};
-use super::handle::{Look, Way};
-use super::keep::{self, Keeps, Restored};
+use super::handle::{FleetHandle, Status};
+use super::keep::{self, MemoryWriter, Restored};
 use super::site::Site;
 use super::thread::{Inputs, Thread};
 use super::uplink::{self, Uplink};
@@ -39,11 +39,11 @@
     clock: Clock,
     boot: u64,
     version: Version,
-    keeps: Keeps,
+    memory: MemoryWriter,
     restored: Restored,
     gathering: Gathering,
     uplink: Option<Uplink>,
-    witnesses: Receiver<Witness>,
+    observations: Receiver<Witness>,
     cold_ms: Millis,
     failures_good: Millis,
 }
@@ -56,7 +56,7 @@
     clock: Clock,
 ) -> Result<(Fleet, Tie), String> {
     let settings = setup.module().map_err(|error| error.to_string())?;
-    let (keeps, restored) = keep::open(&file, wall());
+    let (memory, restored) = keep::open(&file, wall());
     let boot = if restored.boot > 0 { restored.boot } else { wall() / 1_000 };
     let version = version(&settings, farm);
     let config = gather::config(&file, setup, &settings);
@@ -65,7 +65,7 @@
     let set = uplink::config(&file, driver::random());
     let uplink = file.edge.on.then(|| Uplink::new(set, clock.now() / 1_000_000, restored.uplink));
     let uplink = uplink.transpose()?;
-    let (tell, witnesses) = unbounded();
+    let (tell, observations) = unbounded();
     let now = clock.now() / 1_000_000;
     let ties = file.affinity.on.then(|| {
         let memory = placements(&file, (boot, version), &restored, now);
@@ -79,11 +79,11 @@
         clock,
         boot,
         version,
-        keeps,
+        memory,
         restored,
         gathering,
         uplink,
-        witnesses,
+        observations,
         cold_ms,
         failures_good,
     };
@@ -144,7 +144,7 @@
 
 impl Fleet {
     /// Runs it on a thread of its own, with the peers' on another.
-    pub fn start(self, core: Handle) -> Result<Way, String> {
+    pub fn start(self, core: Handle) -> Result<FleetHandle, String> {
         let (news, changes) = unbounded();
         let bounds =
             carry::bounds(self.file.affinity.most, millis(self.file.affinity.keep), driver::random());
@@ -155,11 +155,11 @@
         let bound = |error: std::io::Error| format!("fleet.listen {}: {error}", self.file.listen);
         let link = driver::Udp::new(UdpSocket::bind(self.file.listen).map_err(bound)?);
         let clock = self.clock;
-        let handle = driver::spawn(node, link, move || clock.now() / 1_000_000, tell)
+        let peers = driver::spawn(node, link, move || clock.now() / 1_000_000, tell)
             .map_err(|error| format!("thread peers: {error}"))?;
-        let (asks, asked) = unbounded();
-        let shown: Arc<Mutex<Look>> = Arc::default();
-        let way = Way { asks, shown: Arc::clone(&shown) };
+        let (commands, received) = unbounded();
+        let shown: Arc<Mutex<Status>> = Arc::default();
+        let handle = FleetHandle { commands, shown: Arc::clone(&shown) };
         info!(part = "peers", name = self.file.name, site = self.file.site, boot = self.boot, on = %self.file.listen, "part of a fleet");
         let thread = Thread {
             now: clock.now(),
@@ -170,16 +170,16 @@
             is_settled: false,
             gathers: true,
             by_turns: self.file.borne.is_some(),
-            farm: BTreeMap::new(),
+            servers: BTreeMap::new(),
             position: None,
             standing: 0,
             tell_at: 0,
-            look_at: 0,
-            look: Look {
+            status_at: 0,
+            status: Status {
                 name: self.file.name.clone(),
                 site: self.file.site.clone(),
                 boot: self.boot,
-                ..Look::default()
+                ..Status::default()
             },
             file: self.file,
             clock,
@@ -187,8 +187,8 @@
             version: self.version,
             core,
             known,
-            peers: handle,
-            keeps: self.keeps,
+            peers,
+            memory: self.memory,
             gathering: self.gathering,
             uplink: self.uplink,
             site: Site::default(),
@@ -197,11 +197,11 @@
             shown,
         };
         let restored = self.restored;
-        let inputs = Inputs { witnesses: self.witnesses, changes, events, asked };
+        let inputs = Inputs { observations: self.observations, changes, events, commands: received };
         let run = move || thread.run(restored, inputs);
         let spawned = std::thread::Builder::new().name("fleet".into()).spawn(run);
         spawned.map_err(|error| format!("thread fleet: {error}"))?;
-        Ok(way)
+        Ok(handle)
     }
 
     fn node(&self, known: Shared) -> Result<Node<Shared>, String> {
--- a/balancer/src/fleet/tell.rs
+++ b/balancer/src/fleet/tell.rs
@@ -15,7 +15,7 @@
 const TELL_PERIOD: u64 = 2_000_000_000;
 const WORD_GOOD: Millis = 15_000;
 /// The uplink is looked at, and what people are shown is made anew, this often, in nanoseconds.
-const LOOK_PERIOD: u64 = 200_000_000;
+const STATUS_PERIOD: u64 = 200_000_000;
 
 impl Thread {
     /// Does what is due.
@@ -25,15 +25,15 @@
         if self.settling.is_some_and(|(at, _)| at <= self.now) {
             self.settled();
         }
-        self.keeps.look_after(self.ms());
+        self.memory.look_after(self.ms());
         if self.now >= self.tell_at {
             self.tell_at = self.now.saturating_add(TELL_PERIOD);
             self.tell_word();
             let now = self.ms();
             carry::with(&self.known, |known| known.knowledge.expire(now));
         }
-        if self.now >= self.look_at {
-            self.look_at = self.now.saturating_add(LOOK_PERIOD);
+        if self.now >= self.status_at {
+            self.status_at = self.now.saturating_add(STATUS_PERIOD);
             let others = self.peers.members().into_iter().filter(|member| *member.site != *self.file.site);
             let others: Vec<Member> = others.collect();
             self.uplink(|uplink, now| uplink.due(now, &others));
@@ -67,17 +67,17 @@
     pub(super) fn go_by_evidence(&mut self) {
         let now = self.ms();
         let apart = self.uplink.as_ref().map_or((false, None), |uplink| uplink.stands_apart(now));
-        let parts = self.site.parts(now, &self.farm, apart, self.cold_ms);
+        let parts = self.site.parts(now, &self.servers, apart, self.cold_ms);
         if let Some(parts) = parts {
             self.core.tell(Event::Known(KnownNews::Site(parts)));
         }
     }
 
     fn show(&mut self) {
-        self.look.processes = (self.peers.members().len() + 1, self.file.size);
-        self.look.recovery = self.gathering.words();
+        self.status.processes = (self.peers.members().len() + 1, self.file.size);
+        self.status.recovery = self.gathering.words();
         let now = self.ms();
-        self.look.failing = carry::with(&self.known, |known| {
+        self.status.failing = carry::with(&self.known, |known| {
             let keys = known.knowledge.iter(Kind::Failures, now).filter_map(|fact| match fact.subject {
                 Subject::Failures(key) => Some(key),
                 _ => None,
@@ -85,10 +85,10 @@
             let keys: BTreeSet<u64> = keys.collect();
             keys.into_iter().filter(|key| known.knowledge.failures(*key, now) > 0).count()
         });
-        self.look.uplink = self.uplink.as_ref().map(|uplink| uplink.words(self.ms()));
-        self.look.version = self.version.to_string();
-        self.look.refused = self.peers.counts().refused.iter().sum();
-        self.look.kept = self.keeps.is_kept();
-        *self.shown.lock().unwrap_or_else(PoisonError::into_inner) = self.look.clone();
+        self.status.uplink = self.uplink.as_ref().map(|uplink| uplink.words(self.ms()));
+        self.status.version = self.version.to_string();
+        self.status.refused = self.peers.counts().refused.iter().sum();
+        self.status.kept = self.memory.is_kept();
+        *self.shown.lock().unwrap_or_else(PoisonError::into_inner) = self.status.clone();
     }
 }
--- a/balancer/src/fleet/thread.rs
+++ b/balancer/src/fleet/thread.rs
@@ -12,8 +12,8 @@
 
 use super::carry::Shared;
 use super::gather::Gathering;
-use super::handle::{Ask, Look};
-use super::keep::{Keeps, Restored};
+use super::handle::{Command, Status};
+use super::keep::{MemoryWriter, Restored};
 use super::setup::configuration;
 use super::site::Site;
 use super::uplink::{self, Uplink};
@@ -28,44 +28,44 @@
 
 /// Whatever reaches the thread.
 pub(super) struct Inputs {
-    pub(super) witnesses: Receiver<Witness>,
+    pub(super) observations: Receiver<Witness>,
     pub(super) changes: Receiver<Vec<Change>>,
     pub(super) events: Receiver<peers::Event>,
-    pub(super) asked: Receiver<Ask>,
+    pub(super) commands: Receiver<Command>,
 }
 
 /// What reached it.
-enum Came {
-    Seen(Witness),
-    Learnt(Vec<Change>),
+enum Input {
+    Observed(Witness),
+    Changed(Vec<Change>),
     Peers(peers::Event),
-    Asked(Ask),
+    Commanded(Command),
     CoreLeft,
     Nothing,
 }
 
 impl Inputs {
     /// What comes next, if it comes within a time.
-    fn next(&mut self, wait: Duration) -> Came {
+    fn next(&mut self, wait: Duration) -> Input {
         // Guards against a loop round an end that is ready at all times: an input that has ended is left out.
         select! {
-            recv(self.witnesses) -> seen => seen.map_or(Came::CoreLeft, Came::Seen),
-            recv(self.changes) -> changes => changes.map_or(Came::Nothing, Came::Learnt),
+            recv(self.observations) -> seen => seen.map_or(Input::CoreLeft, Input::Observed),
+            recv(self.changes) -> changes => changes.map_or(Input::Nothing, Input::Changed),
             recv(self.events) -> event => event.map_or_else(
                 |_| {
                     self.events = never();
-                    Came::Nothing
+                    Input::Nothing
                 },
-                Came::Peers,
+                Input::Peers,
             ),
-            recv(self.asked) -> ask => ask.map_or_else(
+            recv(self.commands) -> command => command.map_or_else(
                 |_| {
-                    self.asked = never();
-                    Came::Nothing
+                    self.commands = never();
+                    Input::Nothing
                 },
-                Came::Asked,
+                Input::Commanded,
             ),
-            default(wait) => Came::Nothing,
+            default(wait) => Input::Nothing,
         }
     }
 }
@@ -87,13 +87,13 @@
     /// Clients are let in by turns.
     pub(super) by_turns: bool,
     /// The list as the core has it, by name.
-    pub(super) farm: BTreeMap<String, Listed>,
+    pub(super) servers: BTreeMap<String, Listed>,
     pub(super) position: Option<beaconflow_knowledge::Position>,
     pub(super) standing: usize,
     /// When the own word is told again.
     pub(super) tell_at: u64,
-    pub(super) look_at: u64,
-    pub(super) look: Look,
+    pub(super) status_at: u64,
+    pub(super) status: Status,
     pub(super) file: operator::Fleet,
     pub(super) clock: Clock,
     pub(super) boot: u64,
@@ -101,7 +101,7 @@
     pub(super) core: Handle,
     pub(super) known: Shared,
     pub(super) peers: driver::Handle,
-    pub(super) keeps: Keeps,
+    pub(super) memory: MemoryWriter,
     pub(super) gathering: Gathering,
     pub(super) uplink: Option<Uplink>,
     pub(super) site: Site,
@@ -109,7 +109,7 @@
     pub(super) cold_ms: Millis,
     /// A client key's failures are forgotten after this.
     pub(super) failures_good: Millis,
-    pub(super) shown: Arc<Mutex<Look>>,
+    pub(super) shown: Arc<Mutex<Status>>,
 }
 
 impl Thread {
@@ -126,12 +126,12 @@
             // Guards against a success that is dated before the failure that it makes void: the wait may have been long.
             self.now = self.clock.now();
             match came {
-                Came::Seen(seen) => self.witnessed(seen),
-                Came::Learnt(changes) => self.learnt(&changes),
-                Came::Peers(event) => self.peers_say(event),
-                Came::Asked(ask) => self.follow(ask),
-                Came::CoreLeft => return self.end(),
-                Came::Nothing => {}
+                Input::Observed(seen) => self.take_observation(seen),
+                Input::Changed(changes) => self.take_changes(&changes),
+                Input::Peers(event) => self.take_peer_event(event),
+                Input::Commanded(command) => self.follow(command),
+                Input::CoreLeft => return self.end(),
+                Input::Nothing => {}
             }
         }
     }
@@ -159,20 +159,20 @@
                 uplink::Wanted::Hold(span) => self.core.tell(Event::Known(KnownNews::Hold(span))),
                 uplink::Wanted::Ask => self.core.tell(Event::Known(KnownNews::Ask)),
                 uplink::Wanted::Tell => self.tell_at = self.now,
-                uplink::Wanted::Keep => self.keeps.remember(records::uplink(kept.0, kept.1, now)),
+                uplink::Wanted::Keep => self.memory.remember(records::uplink(kept.0, kept.1, now)),
             }
         }
     }
 
-    pub(super) fn ties(&self, news: TieNews) {
+    pub(super) fn tell_affinity(&self, news: TieNews) {
         self.core.tell(Event::Known(KnownNews::Ties(news)));
     }
 
     /// Another file's word.
-    fn follow(&mut self, ask: Ask) {
-        let file = match ask {
-            Ask::Follow(file) => file,
-            Ask::Routes(version) => {
+    fn follow(&mut self, command: Command) {
+        let file = match command {
+            Command::Follow(file) => file,
+            Command::Routes(version) => {
                 self.version = version;
                 return self.adopt(self.file.affinity.serial);
             }
@@ -194,12 +194,12 @@
     /// The present version is run under that number from now on.
     fn adopt(&mut self, serial: u64) {
         self.peers.configured(configuration(self.version, serial));
-        self.ties(TieNews::Adopt(self.version, serial));
+        self.tell_affinity(TieNews::Adopt(self.version, serial));
     }
 
     /// The core has left: what is known is written, and the peers are told.
     fn end(self) {
-        if !self.keeps.end() {
+        if !self.memory.end() {
             warn!(part = "memory", "not all that was known is written");
         }
         self.peers.stop();
--- a/faults/src/address.rs
+++ b/faults/src/address.rs
@@ -26,22 +26,22 @@
 
 /// An address that is kept: nobody else is given its port, and whoever owns it may listen there, end, and listen anew.
 #[derive(Debug)]
-pub struct Kept {
+pub struct ReservedAddress {
     /// The address.
     pub at: SocketAddr,
     /// Bound and never listening. Guards against the port being given away while its owner is down.
     _keeper: Socket,
 }
 
-impl Default for Kept {
-    fn default() -> Kept {
+impl Default for ReservedAddress {
+    fn default() -> ReservedAddress {
         let keeper = bound(listening());
         let at = keeper.local_addr().ok().and_then(|at| at.as_socket()).expect("bound");
-        Kept { at, _keeper: keeper }
+        ReservedAddress { at, _keeper: keeper }
     }
 }
 
-impl Kept {
+impl ReservedAddress {
     /// Listens there.
     pub fn listen(&self, backlog: i32) -> TcpListener {
         let socket = bound(self.at);
--- a/faults/src/fleet/balancer.rs
+++ b/faults/src/fleet/balancer.rs
@@ -7,12 +7,12 @@
 use serde_json::json;
 
 use super::{Fleet, Version};
-use crate::address::Kept;
+use crate::address::ReservedAddress;
 use crate::fault::Fault;
 use crate::net::Link;
 use crate::process::Process;
 use crate::together::{self, Addresses};
-use crate::{address, taps};
+use crate::{address, observers};
 
 /// Where datagrams are heard.
 const DATAGRAMS: u16 = 7_100;
@@ -29,8 +29,8 @@
     pub listens: SocketAddr,
     /// What its configuration says where versions of it differ.
     pub version: Version,
-    _kept: Kept,
-    pub(super) admin: Kept,
+    _kept: ReservedAddress,
+    pub(super) admin: ReservedAddress,
     rank: usize,
     discovery: SocketAddr,
     datagrams: SocketAddr,
@@ -41,7 +41,7 @@
     /// A process that has not been started, with its links.
     pub(super) fn balancer(&self, rank: usize, attempts: &Arc<AtomicU64>) -> Balancer {
         let name = format!("b{rank}");
-        let (source, kept) = (address::party(), Kept::default());
+        let (source, kept) = (address::party(), ReservedAddress::default());
         let listens = kept.at;
         self.link_to_servers(&name, source, attempts);
         let discovery = self.link_to_discovery(&name, source);
@@ -58,7 +58,7 @@
             listens,
             version: Version { serial: 1, worth: 1.0 },
             _kept: kept,
-            admin: Kept::default(),
+            admin: ReservedAddress::default(),
             rank,
             discovery,
             datagrams,
@@ -74,7 +74,7 @@
         let linked = self.servers.iter().map(|server| {
             let mut link = Link::new(name, server.name(), server.at);
             link.source = Some(source);
-            link.taps = Some(taps::attempts(&self.record, name, server.name(), attempts));
+            link.make_observer = Some(observers::attempts(&self.record, name, server.name(), attempts));
             (server.name().to_owned(), self.net.link(link))
         });
         let addresses: Vec<(String, SocketAddr)> = linked.collect();
@@ -85,7 +85,7 @@
     fn link_to_discovery(&self, name: &str, source: IpAddr) -> SocketAddr {
         let mut link = Link::new(name, "discovery", self.discovery.at);
         link.source = Some(source);
-        link.taps = Some(taps::lists(&self.record, name));
+        link.make_observer = Some(observers::lists(&self.record, name));
         self.net.link(link)
     }
 
--- a/faults/src/flow.rs
+++ b/faults/src/flow.rs
@@ -12,7 +12,7 @@
 
 /// What is done to one direction of a link.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Lane {
+pub struct Impairment {
     /// What comes is due later by this, and up to as much again.
     pub delay: Duration,
     /// So many bytes may still pass.
@@ -46,9 +46,9 @@
     next_piece: Option<Instant>,
 }
 
-/// What a pump saw, for whoever taps the link.
+/// What was seen of a connection, for whoever observes its link.
 #[derive(Clone, Copy)]
-pub enum Saw<'a> {
+pub enum Observation<'a> {
     /// Bytes that the near side wrote.
     FromNear(&'a [u8]),
     /// Bytes that have been written to the near side.
@@ -60,7 +60,7 @@
 }
 
 /// What is to be done with a connection after a pump.
-pub enum Next {
+pub enum Progress {
     /// It goes on; it wants to be pumped again at this moment, whatever comes.
     Wait(Option<Instant>),
     /// It is over.
@@ -68,7 +68,7 @@
 }
 
 /// A connection: the streams of its near and its far side, and what flows between them.
-pub struct Conn {
+pub struct Connection {
     /// Near and far.
     pub streams: [TcpStream; 2],
     /// There and back.
@@ -77,10 +77,10 @@
     connected: bool,
 }
 
-impl Conn {
+impl Connection {
     /// A connection whose far side is coming up.
-    pub fn new(near: TcpStream, far: TcpStream) -> Conn {
-        Conn { streams: [near, far], flows: Default::default(), connected: false }
+    pub fn new(near: TcpStream, far: TcpStream) -> Connection {
+        Connection { streams: [near, far], flows: Default::default(), connected: false }
     }
 
     /// Resets both sides.
@@ -93,17 +93,17 @@
     /// Moves what can be moved.
     pub fn pump(
         &mut self,
-        lanes: &mut [Lane; 2],
-        delay: &mut dyn FnMut(&Lane) -> Duration,
-        saw: &mut dyn FnMut(Saw<'_>),
-    ) -> Next {
+        impairments: &mut [Impairment; 2],
+        delay: &mut dyn FnMut(&Impairment) -> Duration,
+        observe: &mut dyn FnMut(Observation<'_>),
+    ) -> Progress {
         if !self.connected {
             match self.is_up() {
                 Ok(up) => self.connected = up,
                 Err(_) => {
                     self.reset();
-                    saw(Saw::FarEnded);
-                    return Next::Over;
+                    observe(Observation::FarEnded);
+                    return Progress::Over;
                 }
             }
         }
@@ -111,22 +111,22 @@
         for direction in [0, 1] {
             // The far side says nothing before it is up, and hears nothing.
             if direction == 0 || self.connected {
-                let by = delay(&lanes[direction]);
-                self.take_in(direction, by, saw);
+                let by = delay(&impairments[direction]);
+                self.take_in(direction, by, observe);
             }
             if !self.connected {
                 continue;
             }
             let was_full = self.flows[direction].bytes >= MOST_WAITING;
-            match self.give_out(direction, &mut lanes[direction], saw) {
-                Next::Over => return Next::Over,
-                Next::Wait(at) => again = [again, at].into_iter().flatten().min(),
+            match self.give_out(direction, &mut impairments[direction], observe) {
+                Progress::Over => return Progress::Over,
+                Progress::Wait(at) => again = [again, at].into_iter().flatten().min(),
             }
             if was_full && self.flows[direction].bytes < MOST_WAITING {
                 again = Some(Instant::now());
             }
         }
-        if self.flows.iter().all(|flow| flow.finished) { Next::Over } else { Next::Wait(again) }
+        if self.flows.iter().all(|flow| flow.finished) { Progress::Over } else { Progress::Wait(again) }
     }
 
     fn is_up(&self) -> io::Result<bool> {
@@ -137,7 +137,7 @@
     }
 
     /// Reads all there is from a direction's source.
-    fn take_in(&mut self, direction: usize, delay: Duration, saw: &mut dyn FnMut(Saw<'_>)) {
+    fn take_in(&mut self, direction: usize, delay: Duration, observe: &mut dyn FnMut(Observation<'_>)) {
         let mut buffer = [0; 16 << 10];
         let flow = &mut self.flows[direction];
         while !flow.ended && flow.bytes < MOST_WAITING {
@@ -152,7 +152,7 @@
                     flow.bytes += count;
                     flow.waiting.push_back((due, Item::Bytes(buffer[..count].to_vec())));
                     if direction == 0 {
-                        saw(Saw::FromNear(&buffer[..count]));
+                        observe(Observation::FromNear(&buffer[..count]));
                     }
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return,
@@ -166,60 +166,65 @@
                 }
             }
             if flow.ended && direction == 0 {
-                saw(Saw::NearEnded);
+                observe(Observation::NearEnded);
             }
         }
     }
 
     /// Writes what is due and may pass.
-    fn give_out(&mut self, direction: usize, lane: &mut Lane, saw: &mut dyn FnMut(Saw<'_>)) -> Next {
+    fn give_out(
+        &mut self,
+        direction: usize,
+        impairment: &mut Impairment,
+        observe: &mut dyn FnMut(Observation<'_>),
+    ) -> Progress {
         let flow = &mut self.flows[direction];
         let into = &mut self.streams[1 - direction];
         while let Some((due, item)) = flow.waiting.front_mut() {
-            if lane.cut || lane.left == Some(0) {
-                return Next::Wait(None);
+            if impairment.cut || impairment.left == Some(0) {
+                return Progress::Wait(None);
             }
             let now = Instant::now();
             let due = (*due).max(flow.next_piece.unwrap_or(*due));
             if due > now {
-                return Next::Wait(Some(due));
+                return Progress::Wait(Some(due));
             }
             match item {
                 Item::Reset => {
                     self.reset();
                     if direction == 1 {
-                        saw(Saw::FarEnded);
+                        observe(Observation::FarEnded);
                     }
-                    return Next::Over;
+                    return Progress::Over;
                 }
                 Item::Finish => {
                     let _ = into.shutdown(Shutdown::Write);
                     flow.finished = true;
                     if direction == 1 {
-                        saw(Saw::FarEnded);
+                        observe(Observation::FarEnded);
                     }
                     flow.waiting.pop_front();
                 }
                 Item::Bytes(bytes) => {
-                    let most = lane
+                    let most = impairment
                         .left
                         .unwrap_or(usize::MAX)
-                        .min(lane.dribble.map_or(usize::MAX, |(size, _)| size));
+                        .min(impairment.dribble.map_or(usize::MAX, |(size, _)| size));
                     let piece = bytes.len().min(most.max(1));
                     match into.write(&bytes[..piece]) {
                         Ok(count) => {
                             if direction == 1 {
-                                saw(Saw::ToNear(&bytes[..count]));
+                                observe(Observation::ToNear(&bytes[..count]));
                             }
                             bytes.drain(..count);
                             flow.bytes -= count;
-                            lane.left = lane.left.map(|left| left - count);
-                            flow.next_piece = lane.dribble.map(|(_, every)| now + every);
+                            impairment.left = impairment.left.map(|left| left - count);
+                            flow.next_piece = impairment.dribble.map(|(_, every)| now + every);
                             if bytes.is_empty() {
                                 flow.waiting.pop_front();
                             }
                         }
-                        Err(error) if error.kind() == ErrorKind::WouldBlock => return Next::Wait(None),
+                        Err(error) if error.kind() == ErrorKind::WouldBlock => return Progress::Wait(None),
                         Err(error) if error.kind() == ErrorKind::Interrupted => {}
                         Err(_) => {
                             // Its reader is gone; the reset that it sent is read on the other direction.
@@ -227,12 +232,12 @@
                             flow.bytes = 0;
                             flow.finished = true;
                             flow.ended = true;
-                            return Next::Wait(Some(now));
+                            return Progress::Wait(Some(now));
                         }
                     }
                 }
             }
         }
-        Next::Wait(None)
+        Progress::Wait(None)
     }
 }
--- a/faults/src/net.rs
+++ b/faults/src/net.rs
@@ -20,18 +20,18 @@
 use mio::Waker;
 
 use crate::fault::{Fault, Script};
-use crate::flow::Saw;
+use crate::flow::Observation;
 use crate::record::Record;
 use relay::{Order, Relay};
 
 /// Follows one connection of a link from the near side's wire.
-pub trait Tap: Send {
+pub trait LinkObserver: Send {
     /// Something was seen.
-    fn saw(&mut self, saw: Saw<'_>);
+    fn observe(&mut self, observation: Observation<'_>);
 }
 
-/// Makes a tap for each connection.
-pub type Taps = Box<dyn Fn() -> Box<dyn Tap> + Send>;
+/// Makes an observer for each connection.
+pub type MakeObserver = Box<dyn Fn() -> Box<dyn LinkObserver> + Send>;
 
 /// A link for connections.
 pub struct Link {
@@ -46,14 +46,14 @@
     /// Where the far side sees it come from.
     pub source: Option<IpAddr>,
     /// Who follows its connections.
-    pub taps: Option<Taps>,
+    pub make_observer: Option<MakeObserver>,
 }
 
 impl Link {
     /// A link under its usual name.
     pub fn new(near: &str, far: &str, target: SocketAddr) -> Link {
         let (near, far) = (near.to_owned(), far.to_owned());
-        Link { name: format!("{near}>{far}"), near, far, target, source: None, taps: None }
+        Link { name: format!("{near}>{far}"), near, far, target, source: None, make_observer: None }
     }
 }
 
--- a/faults/src/net/connections.rs
+++ b/faults/src/net/connections.rs
@@ -11,9 +11,9 @@
 
 use super::relay::{LinkState, Owner, Relay, by_chance};
 use super::timers::Due;
-use super::{Link, Tap, Taps};
-use crate::address::Kept;
-use crate::flow::{Conn, Lane, Next, Saw};
+use super::{Link, LinkObserver, MakeObserver};
+use crate::address::ReservedAddress;
+use crate::flow::{Connection, Impairment, Observation, Progress};
 
 /// Connections that a listener holds before they are taken.
 pub(super) const BACKLOG: i32 = 1024;
@@ -21,28 +21,28 @@
 /// Where a link's connections come in, and where they lead.
 pub(super) struct Listening {
     /// The link's address, which stays its own while nothing listens there.
-    pub(super) kept: Arc<Kept>,
+    pub(super) kept: Arc<ReservedAddress>,
     /// Nothing where new connections are refused.
     pub(super) listener: Option<TcpListener>,
     target: SocketAddr,
     source: Option<IpAddr>,
-    taps: Option<Taps>,
+    make_observer: Option<MakeObserver>,
     /// Sockets that fill the listener's queue, so that nothing comes up.
-    pub(super) plugs: Vec<Socket>,
+    pub(super) backlog_fillers: Vec<Socket>,
     /// Such sockets that are gone and may stand in the queue yet.
-    pub(super) past: Vec<SocketAddr>,
+    pub(super) late_fillers: Vec<SocketAddr>,
 }
 
 impl Listening {
     /// The next connection that has come in, by both its sides; nothing where none is to be taken now.
     fn next(&mut self) -> Option<(TcpStream, io::Result<TcpStream>)> {
-        if !self.plugs.is_empty() {
+        if !self.backlog_fillers.is_empty() {
             return None;
         }
         loop {
             let (near, from) = self.listener.as_ref()?.accept().ok()?;
-            if self.past.contains(&from) {
-                self.past.retain(|plug| *plug != from);
+            if self.late_fillers.contains(&from) {
+                self.late_fillers.retain(|filler| *filler != from);
                 continue;
             }
             return Some((near, connect(self.target, self.source)));
@@ -53,33 +53,40 @@
 /// A connection on a link.
 pub(super) struct Carried {
     link: String,
-    connection: Conn,
-    tap: Option<Box<dyn Tap>>,
+    connection: Connection,
+    observer: Option<Box<dyn LinkObserver>>,
     tokens: Vec<usize>,
 }
 
 impl Carried {
-    fn saw(&mut self, saw: Saw<'_>) {
-        self.tap.iter_mut().for_each(|tap| tap.saw(saw));
+    fn observe(&mut self, observation: Observation<'_>) {
+        self.observer.iter_mut().for_each(|observer| observer.observe(observation));
     }
 }
 
 impl Relay {
     /// Adds a link for connections; gives its address.
     pub(super) fn add_link(&mut self, link: Link) -> SocketAddr {
-        let Link { name, near, far, target, source, taps } = link;
-        let kept = Arc::new(Kept::default());
+        let Link { name, near, far, target, source, make_observer } = link;
+        let kept = Arc::new(ReservedAddress::default());
         let (listener, at) = (self.listen(&name, &kept), kept.at);
         let listener = Some(listener);
-        let listening =
-            Listening { kept, listener, target, source, taps, plugs: Vec::new(), past: Vec::new() };
-        let lanes = Default::default();
-        self.links.insert(name, LinkState { near, far, lanes, listening: Some(listening) });
+        let listening = Listening {
+            kept,
+            listener,
+            target,
+            source,
+            make_observer,
+            backlog_fillers: Vec::new(),
+            late_fillers: Vec::new(),
+        };
+        let impairments = Default::default();
+        self.links.insert(name, LinkState { near, far, impairments, listening: Some(listening) });
         at
     }
 
     /// Has new connections of a link taken.
-    pub(super) fn listen(&mut self, name: &str, kept: &Kept) -> TcpListener {
+    pub(super) fn listen(&mut self, name: &str, kept: &ReservedAddress) -> TcpListener {
         let listener = kept.listen(BACKLOG);
         listener.set_nonblocking(true).expect("open");
         let mut listener = TcpListener::from_std(listener);
@@ -96,16 +103,16 @@
     pub(super) fn accept(&mut self, name: &str) {
         while let Some(listening) = self.listening(name) {
             let Some((near, far)) = listening.next() else { return };
-            let tap = listening.taps.as_ref().map(|taps| taps());
+            let observer = listening.make_observer.as_ref().map(|make| make());
             match far {
-                Ok(far) => self.carry(name, Conn::new(near, far), tap),
+                Ok(far) => self.carry(name, Connection::new(near, far), observer),
                 // Dropped with its linger at zero, it is reset.
                 Err(_) => drop(SockRef::from(&near).set_linger(Some(Duration::ZERO))),
             }
         }
     }
 
-    fn carry(&mut self, link: &str, mut connection: Conn, tap: Option<Box<dyn Tap>>) {
+    fn carry(&mut self, link: &str, mut connection: Connection, observer: Option<Box<dyn LinkObserver>>) {
         let number = self.number();
         let mut tokens = Vec::new();
         for stream in &mut connection.streams {
@@ -114,20 +121,24 @@
             tokens.push(self.own(stream, Owner::Connection(number), both));
         }
         // What it brings is taken in at the next look, which tells what ended before it began.
-        self.connections.insert(number, Carried { link: link.to_owned(), connection, tap, tokens });
+        self.connections.insert(number, Carried { link: link.to_owned(), connection, observer, tokens });
     }
 
     /// Forwards what a connection can forward now.
     pub(super) fn pump(&mut self, number: usize) {
-        let Some(Carried { link, connection, tap, .. }) = self.connections.get_mut(&number) else { return };
+        let Some(Carried { link, connection, observer, .. }) = self.connections.get_mut(&number) else {
+            return;
+        };
         let Some(state) = self.links.get_mut(link) else { return };
         let chance = &mut self.chance;
-        let mut delay = |lane: &Lane| by_chance(chance, lane.delay);
-        let mut saw = |saw: Saw<'_>| tap.iter_mut().for_each(|tap| tap.saw(saw));
-        match connection.pump(&mut state.lanes, &mut delay, &mut saw) {
-            Next::Over => self.forget(number),
-            Next::Wait(Some(at)) => self.timers.enter(at, Due::Pump(number)),
-            Next::Wait(None) => {}
+        let mut delay = |impairment: &Impairment| by_chance(chance, impairment.delay);
+        let mut observe = |observation: Observation<'_>| {
+            observer.iter_mut().for_each(|observer| observer.observe(observation));
+        };
+        match connection.pump(&mut state.impairments, &mut delay, &mut observe) {
+            Progress::Over => self.forget(number),
+            Progress::Wait(Some(at)) => self.timers.enter(at, Due::Pump(number)),
+            Progress::Wait(None) => {}
         }
     }
 
@@ -153,7 +164,7 @@
         for number in &numbers {
             let Some(carried) = self.connections.get_mut(number) else { continue };
             carried.connection.reset();
-            carried.saw(Saw::FarEnded);
+            carried.observe(Observation::FarEnded);
         }
         numbers.into_iter().for_each(|number| self.forget(number));
     }
--- a/faults/src/net/datagrams.rs
+++ b/faults/src/net/datagrams.rs
@@ -10,7 +10,7 @@
 use super::relay::{LinkState, Owner, Relay, by_chance};
 use super::timers::Due;
 use crate::address;
-use crate::flow::Lane;
+use crate::flow::Impairment;
 
 /// Longest datagram, in bytes.
 const LONGEST_DATAGRAM: usize = 65_536;
@@ -31,7 +31,8 @@
         self.own(&mut socket, Owner::Datagrams(name.to_owned()), Interest::READABLE);
         for near in self.parties.keys() {
             let (link, near, far) = (format!("{near}~{name}"), near.clone(), name.to_owned());
-            self.links.insert(link, LinkState { near, far, lanes: Default::default(), listening: None });
+            self.links
+                .insert(link, LinkState { near, far, impairments: Default::default(), listening: None });
         }
         self.parties.insert(name.to_owned(), Party { socket, at });
         known
@@ -51,21 +52,21 @@
 
     /// Has a datagram arrive later, once, twice or not at all, as its way is.
     fn send_on(&mut self, from: &str, to: &str, bytes: &[u8]) {
-        let lane = self.lane(from, to);
-        if lane.cut || self.chance.random_bool(lane.lose) {
+        let impairment = self.impairment(from, to);
+        if impairment.cut || self.chance.random_bool(impairment.lose) {
             return;
         }
-        let copies = 1 + usize::from(self.chance.random_bool(lane.double));
+        let copies = 1 + usize::from(self.chance.random_bool(impairment.double));
         for _ in 0..copies {
-            let due = Instant::now() + by_chance(&mut self.chance, lane.delay);
+            let due = Instant::now() + by_chance(&mut self.chance, impairment.delay);
             self.timers.enter(due, Due::Deliver(from.to_owned(), to.to_owned(), bytes.to_vec()));
         }
     }
 
     /// What is wrong with the way from one party to another.
-    fn lane(&self, from: &str, to: &str) -> Lane {
-        let there = self.links.get(&format!("{from}~{to}")).map(|link| link.lanes[0]);
-        let back = || self.links.get(&format!("{to}~{from}")).map(|link| link.lanes[1]);
+    fn impairment(&self, from: &str, to: &str) -> Impairment {
+        let there = self.links.get(&format!("{from}~{to}")).map(|link| link.impairments[0]);
+        let back = || self.links.get(&format!("{to}~{from}")).map(|link| link.impairments[1]);
         there.or_else(back).unwrap_or_default()
     }
 
--- a/faults/src/net/relay.rs
+++ b/faults/src/net/relay.rs
@@ -14,7 +14,7 @@
 use super::datagrams::Party;
 use super::timers::{Due, Timers};
 use crate::fault::Script;
-use crate::flow::Lane;
+use crate::flow::Impairment;
 use crate::record::Record;
 
 const WAKER: Token = Token(0);
@@ -31,7 +31,7 @@
     pub(super) near: String,
     pub(super) far: String,
     /// What is wrong with each direction: there, and back.
-    pub(super) lanes: [Lane; 2],
+    pub(super) impairments: [Impairment; 2],
     /// Where its connections come in. A link for datagrams has none: its parties have a socket each.
     pub(super) listening: Option<Listening>,
 }
--- a/faults/src/taps.rs
+++ b/faults/src/observers.rs
@@ -5,12 +5,12 @@
 
 use serde_json::Value;
 
-use crate::flow::Saw;
-use crate::net::{Tap, Taps};
+use crate::flow::Observation;
+use crate::net::{LinkObserver, MakeObserver};
 use crate::record::{Moment, Record, Row, What};
 
 /// Notes each list whose last byte was written to a balancer.
-pub fn lists(record: &Record, balancer: &str) -> Taps {
+pub fn lists(record: &Record, balancer: &str) -> MakeObserver {
     let (record, balancer) = (record.clone(), balancer.to_owned());
     Box::new(move || {
         Box::new(Lists {
@@ -31,9 +31,9 @@
     begun: bool,
 }
 
-impl Tap for Lists {
-    fn saw(&mut self, saw: Saw<'_>) {
-        let Saw::ToNear(bytes) = saw else { return };
+impl LinkObserver for Lists {
+    fn observe(&mut self, observation: Observation<'_>) {
+        let Observation::ToNear(bytes) = observation else { return };
         self.raw.extend_from_slice(bytes);
         if !self.begun {
             let Some(end) = find(&self.raw, b"\r\n\r\n") else { return };
@@ -90,7 +90,7 @@
 }
 
 /// Notes each attempt of a balancer's at a server, and how it went.
-pub fn attempts(record: &Record, balancer: &str, server: &str, numbers: &Arc<AtomicU64>) -> Taps {
+pub fn attempts(record: &Record, balancer: &str, server: &str, numbers: &Arc<AtomicU64>) -> MakeObserver {
     let (record, numbers) = (record.clone(), Arc::clone(numbers));
     let (balancer, server) = (balancer.to_owned(), server.to_owned());
     Box::new(move || {
@@ -147,10 +147,10 @@
     }
 }
 
-impl Tap for Attempts {
-    fn saw(&mut self, saw: Saw<'_>) {
-        match (saw, &self.at) {
-            (Saw::FromNear(bytes), At::Head) => {
+impl LinkObserver for Attempts {
+    fn observe(&mut self, observation: Observation<'_>) {
+        match (observation, &self.at) {
+            (Observation::FromNear(bytes), At::Head) => {
                 self.begun.get_or_insert_with(|| self.record.now());
                 self.head.extend_from_slice(bytes);
                 if let Some(end) = self.head.iter().position(|byte| *byte == b'\n') {
@@ -158,15 +158,15 @@
                     self.head_is_whole();
                 }
             }
-            (Saw::ToNear(bytes), At::Waits(_)) => {
+            (Observation::ToNear(bytes), At::Waits(_)) => {
                 self.answer.extend_from_slice(bytes);
                 if let Some(end) = self.answer.iter().position(|byte| *byte == b'\n') {
                     let line = String::from_utf8_lossy(&self.answer[..end]).trim_end().to_owned();
                     self.over(&line);
                 }
             }
-            (Saw::NearEnded, _) => self.over("the balancer ended it"),
-            (Saw::FarEnded, _) => self.over("the server ended it"),
+            (Observation::NearEnded, _) => self.over("the balancer ended it"),
+            (Observation::FarEnded, _) => self.over("the server ended it"),
             _ => {}
         }
     }
--- a/faults/src/server.rs
+++ b/faults/src/server.rs
@@ -8,7 +8,7 @@
 
 use socket2::SockRef;
 
-use crate::address::Kept;
+use crate::address::ReservedAddress;
 use crate::record::{Record, ServerDid, What};
 
 /// Connections that wait to be taken.
@@ -117,7 +117,7 @@
 pub struct Server {
     /// Where it listens while it runs.
     pub at: SocketAddr,
-    kept: Kept,
+    kept: ReservedAddress,
     shared: Arc<Shared>,
 }
 
@@ -135,7 +135,7 @@
 impl Server {
     /// Starts it warm.
     pub fn start(name: &str, ability: Ability, record: &Record) -> Server {
-        let kept = Kept::default();
+        let kept = ReservedAddress::default();
         let listener = kept.listen(BACKLOG);
         let state = State {
             life: 0,
--- a/lab/src/engine.rs
+++ b/lab/src/engine.rs
@@ -33,8 +33,8 @@
 use crate::store::Store;
 use crate::versions::Configurations;
 use crate::{Nanos, SECOND, nanos};
-use events::What;
-use model::{Client, Machine, Node, Pass, Phase, Request};
+use events::Occurrence;
+use model::{Client, Machine, Node, Phase, Request, SetUp};
 
 /// A run goes on for so long after the last client came, so that each has its answer.
 const AFTERMATH: Nanos = 10 * SECOND;
@@ -44,7 +44,7 @@
     scenario: &'s Scenario,
     policy: Policy,
     now: Nanos,
-    events: BinaryHeap<Reverse<(Nanos, u32, u64, What)>>,
+    events: BinaryHeap<Reverse<(Nanos, u32, u64, Occurrence)>>,
     count: u64,
     order: Chance,
     chance: Chance,
@@ -54,8 +54,8 @@
     next_client: u64,
     requests: FxHashMap<u64, Request>,
     next_request: u64,
-    passes: FxHashMap<u64, Pass>,
-    next_pass: u64,
+    set_ups: FxHashMap<u64, SetUp>,
+    next_set_up: u64,
     nodes: Vec<Node>,
     machines: Vec<Machine>,
     store: Option<Store>,
@@ -124,8 +124,8 @@
             next_client: 0,
             requests: FxHashMap::default(),
             next_request: 0,
-            passes: FxHashMap::default(),
-            next_pass: 0,
+            set_ups: FxHashMap::default(),
+            next_set_up: 0,
             nodes: Vec::new(),
             machines: (0..scenario.gateways).map(machine).collect(),
             store: scenario.store.as_ref().map(|store| Store::new(store.at_once, store.mean_ms / 1e3)),
@@ -170,7 +170,7 @@
             self.now = at;
             self.measures.events += 1;
             self.play(what);
-            if what == What::Second && !each_second(self) {
+            if what == Occurrence::Second && !each_second(self) {
                 return;
             }
         }
@@ -183,13 +183,13 @@
         self.now
     }
 
-    fn push(&mut self, at: Nanos, what: What) {
+    fn push(&mut self, at: Nanos, what: Occurrence) {
         self.count += 1;
         let draw = (self.order.even() * f64::from(u32::MAX)) as u32;
         self.events.push(Reverse((at.max(self.now), draw, self.count, what)));
     }
 
-    fn after(&mut self, seconds: f64, what: What) {
+    fn after(&mut self, seconds: f64, what: Occurrence) {
         self.push(self.now.saturating_add(nanos(seconds)), what);
     }
 
--- a/lab/src/engine/arrivals.rs
+++ b/lab/src/engine/arrivals.rs
@@ -3,7 +3,7 @@
 use beaconflow::api::{Arrival, ClassId, ClientKey, Event, GroupId, RequestId, ServerId};
 
 use super::model::{Client, Had, Phase, Request};
-use super::{Engine, What};
+use super::{Engine, Occurrence};
 use crate::gateway::Standing;
 use crate::{Nanos, SECOND};
 
@@ -23,16 +23,16 @@
         }
         for failure in 0..self.scenario.failures.len() {
             let at = self.scenario.failures[failure].get_ref().at_s();
-            self.after(at, What::Fails { failure: failure as u32 });
+            self.after(at, Occurrence::Fails { failure: failure as u32 });
         }
-        self.push(SECOND - 1, What::Second);
+        self.push(SECOND - 1, Occurrence::Second);
     }
 
     pub(super) fn next_arrival(&mut self, class: u32) {
         let rate = self.scenario.classes[class as usize].a_second;
         if rate > 0.0 {
             let wait = self.chance.exponential(1.0 / rate);
-            self.after(wait, What::Arrives { class });
+            self.after(wait, Occurrence::Arrives { class });
         }
     }
 
@@ -138,10 +138,10 @@
         let class = &self.scenario.classes[class as usize];
         let (life, changes) = (class.life_s, class.changes_s);
         let life = self.chance.exponential(life);
-        self.after(life, What::Over { request });
+        self.after(life, Occurrence::Over { request });
         if changes > 0.0 {
             let wait = self.chance.exponential(changes);
-            self.after(wait, What::Changes { request });
+            self.after(wait, Occurrence::Changes { request });
         }
     }
 }
--- a/lab/src/engine/attempts.rs
+++ b/lab/src/engine/attempts.rs
@@ -2,7 +2,7 @@
 
 use beaconflow::api::{Event, Note, Outcome, RequestId};
 
-use super::{Engine, Pass, Phase, Request, What};
+use super::{Engine, Occurrence, Phase, Request, SetUp};
 use crate::gateway::Offer;
 use crate::nanos;
 
@@ -14,7 +14,7 @@
 
     pub(super) fn reports(&mut self, request: u64, attempt: u32, outcome: Outcome) {
         let way = self.way(self.scenario.net.gateway_ms);
-        self.after(way, What::Ends { request, attempt, outcome: outcome as u8 });
+        self.after(way, Occurrence::Ends { request, attempt, outcome: outcome as u8 });
     }
 
     pub(super) fn reaches(&mut self, request: u64, attempt: u32, gateway: u32) {
@@ -40,52 +40,52 @@
             return self.reports(request, attempt, Outcome::Reset);
         }
         let machine = &mut self.machines[gateway as usize];
-        let pass = self.next_pass;
+        let set_up = self.next_set_up;
         let start = machine.start;
-        match machine.gateway.offer(self.now, pass, &mut self.chance) {
+        match machine.gateway.offer(self.now, set_up, &mut self.chance) {
             Offer::Full => return self.reports(request, attempt, Outcome::Full),
             Offer::Waits => {}
-            Offer::Until(at) => self.push(at, What::Worked { gateway, start, pass }),
+            Offer::Until(at) => self.push(at, Occurrence::Worked { gateway, start, set_up }),
         }
-        self.next_pass += 1;
-        self.passes.insert(pass, Pass { request, attempt, gateway, start });
+        self.next_set_up += 1;
+        self.set_ups.insert(set_up, SetUp { request, attempt, gateway, start });
     }
 
-    pub(super) fn worked(&mut self, gateway: u32, start: u32, pass: u64) {
+    pub(super) fn worked(&mut self, gateway: u32, start: u32, set_up: u64) {
         let machine = &mut self.machines[gateway as usize];
         if machine.start != start {
-            self.passes.remove(&pass);
+            self.set_ups.remove(&set_up);
             return;
         }
         if machine.hangs_until > self.now {
             let at = machine.hangs_until;
-            return self.push(at, What::Worked { gateway, start, pass });
+            return self.push(at, Occurrence::Worked { gateway, start, set_up });
         }
         if let Some((next, at)) = machine.gateway.set_up_done(self.now, &mut self.chance) {
-            self.push(at, What::Worked { gateway, start, pass: next });
+            self.push(at, Occurrence::Worked { gateway, start, set_up: next });
         }
         match &mut self.store {
-            None => self.stored(pass),
+            None => self.stored(set_up),
             Some(store) => {
-                if let Some(at) = store.call(self.now, pass, &mut self.chance) {
-                    self.push(at, What::Stored { pass });
+                if let Some(at) = store.call(self.now, set_up, &mut self.chance) {
+                    self.push(at, Occurrence::Stored { set_up });
                 }
             }
         }
     }
 
-    pub(super) fn stored(&mut self, pass: u64) {
+    pub(super) fn stored(&mut self, set_up: u64) {
         if let Some(store) = &mut self.store
             && let Some((next, at)) = store.ended(self.now, &mut self.chance)
         {
-            self.push(at, What::Stored { pass: next });
+            self.push(at, Occurrence::Stored { set_up: next });
         }
-        let Some(Pass { request, attempt, gateway, start }) = self.passes.remove(&pass) else { return };
+        let Some(SetUp { request, attempt, gateway, start }) = self.set_ups.remove(&set_up) else { return };
         if self.machines[gateway as usize].start != start || !self.current(request, attempt) {
             return;
         }
         let way = self.way(self.scenario.net.gateway_ms);
-        self.after(way, What::Stands { request, attempt, gateway });
+        self.after(way, Occurrence::Stands { request, attempt, gateway });
     }
 
     pub(super) fn stands(&mut self, request: u64, attempt: u32, gateway: u32) {
--- a/lab/src/engine/balancers.rs
+++ b/lab/src/engine/balancers.rs
@@ -6,7 +6,7 @@
 use beaconflow_affinity::How;
 
 use super::recovery::Listed;
-use super::{Engine, Phase, What};
+use super::{Engine, Occurrence, Phase};
 use crate::{Nanos, nanos};
 
 /// Part of its weight that a gateway of another zone has where clients come to the balancers of their own: those would
@@ -35,7 +35,7 @@
                 Action::Move(request, why) => self.moves(request.0, why, false),
                 Action::Wake { after, timer } => {
                     let at = self.now.saturating_add(after);
-                    self.push(at, What::Timer { balancer, start, timer: timer.0 });
+                    self.push(at, Occurrence::Timer { balancer, start, timer: timer.0 });
                 }
                 Action::Watch => self.watches(balancer),
                 Action::Wait(_) | Action::Probe(_) | Action::Log(_) => {}
@@ -55,9 +55,9 @@
         self.checker.attempts(self.now, request, balancer, gateway);
         self.measures.at(self.now).attempts += 1;
         let way = self.way(self.scenario.net.gateway_ms);
-        self.after(way, What::Reaches { request, attempt, gateway });
+        self.after(way, Occurrence::Reaches { request, attempt, gateway });
         let at = self.now.saturating_add(timeout);
-        self.push(at, What::TimesOut { request, attempt });
+        self.push(at, Occurrence::TimesOut { request, attempt });
     }
 
     pub(super) fn answered(&mut self, request: u64, refused: bool, told: Option<Nanos>) {
@@ -97,14 +97,14 @@
         let start = self.nodes[balancer as usize].start;
         let wait = self.way(self.scenario.net.discovery_ms);
         let at = self.now.max(self.discovery_back_at).saturating_add(nanos(wait));
-        self.push(at, What::Listed { balancer, start, full: true });
+        self.push(at, Occurrence::Listed { balancer, start, full: true });
     }
 
     pub(super) fn tell_list(&mut self, balancer: u32, full: bool) {
         if self.now < self.discovery_back_at {
             let start = self.nodes[balancer as usize].start;
             let at = self.discovery_back_at;
-            return self.push(at, What::Listed { balancer, start, full });
+            return self.push(at, Occurrence::Listed { balancer, start, full });
         }
         let listed = self.listed();
         for (at, one) in listed.iter().enumerate() {
@@ -160,7 +160,7 @@
         for balancer in 0..self.nodes.len() as u32 {
             let start = self.nodes[balancer as usize].start;
             let wait = self.way(self.scenario.net.discovery_ms);
-            self.after(wait, What::Listed { balancer, start, full: false });
+            self.after(wait, Occurrence::Listed { balancer, start, full: false });
         }
     }
 }
--- a/lab/src/engine/clients.rs
+++ b/lab/src/engine/clients.rs
@@ -3,7 +3,7 @@
 use beaconflow::api::{Event, Note, Outcome, RequestId};
 use beaconflow_affinity::How;
 
-use super::{Engine, Phase, Request, What};
+use super::{Engine, Occurrence, Phase, Request};
 use crate::scenario::Habit;
 use crate::{Nanos, nanos};
 
@@ -20,7 +20,7 @@
         self.measures.accounts[account].wanted += 1;
         self.counts_island(client, None);
         let way = self.way(self.scenario.net.client_ms);
-        self.after(way, What::Comes { client });
+        self.after(way, Occurrence::Comes { client });
     }
 
     pub(super) fn comes(&mut self, client: u64) {
@@ -79,7 +79,7 @@
             _ => self.habits.even() * own,
         };
         let way = self.way(self.scenario.net.client_ms);
-        self.after(wait + way, What::Comes { client });
+        self.after(wait + way, Occurrence::Comes { client });
     }
 
     pub(super) fn gives_up(&mut self, client: u64) {
@@ -162,7 +162,7 @@
         self.counts_island(client, None);
         let mean = self.scenario.clients.move_ms / 1e3;
         let wait = self.habits.exponential(mean);
-        self.after(wait, What::Comes { client });
+        self.after(wait, Occurrence::Comes { client });
     }
 
     pub(super) fn changes(&mut self, request: u64) {
@@ -182,6 +182,6 @@
             self.tell(balancer, Event::Noted { request: RequestId(request), attempt, note });
         }
         let wait = self.chance.exponential(self.scenario.classes[class as usize].changes_s);
-        self.after(wait, What::Changes { request });
+        self.after(wait, Occurrence::Changes { request });
     }
 }
--- a/lab/src/engine/edge.rs
+++ b/lab/src/engine/edge.rs
@@ -3,7 +3,7 @@
 use beaconflow::api::ListKind;
 use beaconflow_edge::{Action, Config, Decision, Edge, Evidence, Outcome, Place, Start, Step, Verdict};
 
-use super::{Engine, Phase, What};
+use super::{Engine, Occurrence, Phase};
 use crate::mesh;
 use crate::scenario::{Failure, Way};
 use crate::{Nanos, SECOND, nanos};
@@ -84,7 +84,7 @@
             if self.zone(balancer) == zone && !self.scenario.fleet.edge {
                 let start = self.nodes[balancer as usize].start;
                 let wait = self.way(self.scenario.net.discovery_ms);
-                self.after(wait, What::Listed { balancer, start, full: true });
+                self.after(wait, Occurrence::Listed { balancer, start, full: true });
             }
         }
     }
@@ -107,7 +107,7 @@
         let start = self.nodes[balancer as usize].start;
         // Each at its own moment of a second.
         let first = self.wire.even();
-        self.after(first, What::Judges { balancer, start });
+        self.after(first, Occurrence::Judges { balancer, start });
     }
 
     /// Tells a balancer's judgement something and does what it asks for.
@@ -129,10 +129,13 @@
                 let wait = if self.is_apart(self.zone(balancer), beyond) { GIVES_UP } else { 0.01 };
                 self.measures.fleet.probes += u64::from(wait == GIVES_UP);
                 let discovery = place == Place::Discovery;
-                self.after(wait, What::Probed { balancer, start, beyond, discovery, lost: wait == GIVES_UP });
+                self.after(
+                    wait,
+                    Occurrence::Probed { balancer, start, beyond, discovery, lost: wait == GIVES_UP },
+                );
             }
             Action::Rejoin(Step::Ask { place: Place::Discovery, in_ms }) => {
-                self.after(in_ms as f64 / 1e3, What::AsksAgain { balancer, start });
+                self.after(in_ms as f64 / 1e3, Occurrence::AsksAgain { balancer, start });
             }
             Action::Rejoin(Step::Merge) => {
                 // Its list is the one that it has asked for; what it may move are those that drain or are gone.
@@ -172,7 +175,7 @@
 
     /// Once a second: what its watch and its peers in other zones show.
     pub(super) fn judges(&mut self, balancer: u32, start: u32) {
-        self.after(1.0, What::Judges { balancer, start });
+        self.after(1.0, Occurrence::Judges { balancer, start });
         let (own, wall) = (self.zone(balancer), mesh::wall(self.now));
         let apart = self.is_apart(own, 0) || self.now < self.discovery_back_at;
         let Some(edge) = &self.hosts[balancer as usize].edge else { return };
--- a/lab/src/engine/events.rs
+++ b/lab/src/engine/events.rs
@@ -5,7 +5,7 @@
 use super::{Engine, recovery};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum What {
+pub(super) enum Occurrence {
     /// A new client of a class wants a connection.
     Arrives { class: u32 },
     /// A client's try reaches a balancer.
@@ -13,9 +13,9 @@
     /// An attempt reaches its gateway.
     Reaches { request: u64, attempt: u32, gateway: u32 },
     /// A gateway has done the work of a set-up.
-    Worked { gateway: u32, start: u32, pass: u64 },
+    Worked { gateway: u32, start: u32, set_up: u64 },
     /// The store has done a call.
-    Stored { pass: u64 },
+    Stored { set_up: u64 },
     /// Word of an attempt's connection reaches the balancer.
     Stands { request: u64, attempt: u32, gateway: u32 },
     /// Word of an attempt's end reaches the balancer.
@@ -71,59 +71,70 @@
         node.alive && node.start == start
     }
 
-    pub(super) fn play(&mut self, what: What) {
+    pub(super) fn play(&mut self, what: Occurrence) {
         match what {
-            What::Arrives { class } => {
+            Occurrence::Arrives { class } => {
                 if self.now < self.scenario.length() {
                     let client = self.client(class, None);
                     self.wants(client);
                     self.next_arrival(class);
                 }
             }
-            What::Comes { client } => self.comes(client),
-            What::Reaches { request, attempt, gateway } => self.reaches(request, attempt, gateway),
-            What::Worked { gateway, start, pass } => self.worked(gateway, start, pass),
-            What::Stored { pass } => self.stored(pass),
-            What::Stands { request, attempt, gateway } => self.stands(request, attempt, gateway),
-            What::Ends { request, attempt, outcome } => self.ends(request, attempt, outcome_of(outcome)),
-            What::TimesOut { request, attempt } => self.ends(request, attempt, Outcome::TimedOut),
-            What::Over { request } => self.over(request),
-            What::Changes { request } => self.changes(request),
-            What::Timer { balancer, start, timer } => {
+            Occurrence::Comes { client } => self.comes(client),
+            Occurrence::Reaches { request, attempt, gateway } => self.reaches(request, attempt, gateway),
+            Occurrence::Worked { gateway, start, set_up } => self.worked(gateway, start, set_up),
+            Occurrence::Stored { set_up } => self.stored(set_up),
+            Occurrence::Stands { request, attempt, gateway } => self.stands(request, attempt, gateway),
+            Occurrence::Ends { request, attempt, outcome } => {
+                self.ends(request, attempt, outcome_of(outcome))
+            }
+            Occurrence::TimesOut { request, attempt } => self.ends(request, attempt, Outcome::TimedOut),
+            Occurrence::Over { request } => self.over(request),
+            Occurrence::Changes { request } => self.changes(request),
+            Occurrence::Timer { balancer, start, timer } => {
                 if self.nodes[balancer as usize].start == start {
                     self.tell(balancer, Event::Timer(TimerId(timer)));
                 }
             }
-            What::Listed { balancer, start, full } => {
+            Occurrence::Listed { balancer, start, full } => {
                 if self.nodes[balancer as usize].start == start && self.is_watching(balancer) {
                     self.hears_list(balancer);
                     self.tell_list(balancer, full);
                 }
             }
-            What::Second => self.second(),
-            What::Fails { failure } => self.fails(failure),
-            What::GoesOn { failure, part } => self.goes_on(failure, part),
-            What::Drops { request } => self.cut_off(request, false),
-            What::Leaves { request } => self.leaves(request),
-            What::Adopts { balancer, failure } => self.adopts(balancer, failure),
-            What::Judges { balancer, start } if self.lives(balancer, start) => self.judges(balancer, start),
-            What::Probed { balancer, start, beyond, discovery, lost } if self.lives(balancer, start) => {
+            Occurrence::Second => self.second(),
+            Occurrence::Fails { failure } => self.fails(failure),
+            Occurrence::GoesOn { failure, part } => self.goes_on(failure, part),
+            Occurrence::Drops { request } => self.cut_off(request, false),
+            Occurrence::Leaves { request } => self.leaves(request),
+            Occurrence::Adopts { balancer, failure } => self.adopts(balancer, failure),
+            Occurrence::Judges { balancer, start } if self.lives(balancer, start) => {
+                self.judges(balancer, start)
+            }
+            Occurrence::Probed { balancer, start, beyond, discovery, lost }
+                if self.lives(balancer, start) =>
+            {
                 self.probed(balancer, beyond, discovery, lost);
             }
-            What::AsksAgain { balancer, start } if self.lives(balancer, start) => self.asks_again(balancer),
-            What::Judges { .. } | What::Probed { .. } | What::AsksAgain { .. } => {}
-            What::Rises { gateway, start } => self.rises(gateway, start),
-            What::Talks { balancer, start } if self.lives(balancer, start) => self.talks(balancer),
-            What::Datagram { post } => self.delivers(post),
-            What::Recovers { balancer, start } if self.lives(balancer, start) => {
+            Occurrence::AsksAgain { balancer, start } if self.lives(balancer, start) => {
+                self.asks_again(balancer)
+            }
+            Occurrence::Judges { .. } | Occurrence::Probed { .. } | Occurrence::AsksAgain { .. } => {}
+            Occurrence::Rises { gateway, start } => self.rises(gateway, start),
+            Occurrence::Talks { balancer, start } if self.lives(balancer, start) => self.talks(balancer),
+            Occurrence::Datagram { post } => self.delivers(post),
+            Occurrence::Recovers { balancer, start } if self.lives(balancer, start) => {
                 self.recovers(balancer, recovery::TICK);
             }
-            What::Asks { balancer, start } if self.lives(balancer, start) => self.asks(balancer),
-            What::AskFails { balancer, start } if self.lives(balancer, start) => {
+            Occurrence::Asks { balancer, start } if self.lives(balancer, start) => self.asks(balancer),
+            Occurrence::AskFails { balancer, start } if self.lives(balancer, start) => {
                 self.recovers(balancer, recovery::ASK_FAILED);
             }
-            What::Lent { to, from, number, bits } => self.is_lent(to, from, number, bits),
-            What::Talks { .. } | What::Recovers { .. } | What::Asks { .. } | What::AskFails { .. } => {}
+            Occurrence::Lent { to, from, number, bits } => self.is_lent(to, from, number, bits),
+            Occurrence::Talks { .. }
+            | Occurrence::Recovers { .. }
+            | Occurrence::Asks { .. }
+            | Occurrence::AskFails { .. } => {}
         }
     }
 }
--- a/lab/src/engine/falls.rs
+++ b/lab/src/engine/falls.rs
@@ -1,6 +1,6 @@
 //! Cold gateways that fall over when they are sent too much.
 
-use super::{Engine, What};
+use super::{Engine, Occurrence};
 use crate::nanos;
 use crate::scenario::{FALL_S, TIP_MULTIPLE};
 
@@ -34,7 +34,7 @@
         self.goes_down(gateway, LIES_S);
         self.list_changes();
         let start = self.machines[gateway as usize].start;
-        self.after(LIES_S, What::Rises { gateway, start });
+        self.after(LIES_S, Occurrence::Rises { gateway, start });
         true
     }
 
--- a/lab/src/engine/model.rs
+++ b/lab/src/engine/model.rs
@@ -50,7 +50,7 @@
 
 /// An attempt that a gateway works on, as the gateway numbers it.
 #[derive(Clone, Copy)]
-pub(super) struct Pass {
+pub(super) struct SetUp {
     pub(super) request: u64,
     pub(super) attempt: u32,
     pub(super) gateway: u32,
--- a/lab/src/engine/peers.rs
+++ b/lab/src/engine/peers.rs
@@ -4,7 +4,7 @@
 use beaconflow_peers::{Event, Input, Output};
 use beaconflow_recovery::{Event as Step, PeerWord, State as Stage};
 
-use super::{Engine, What};
+use super::{Engine, Occurrence};
 use crate::mesh::{self, Said};
 use crate::{Nanos, SECOND};
 
@@ -74,7 +74,7 @@
         }
         host.wake = Some(at);
         let at = (at - mesh::WALL) * 1_000_000;
-        self.push(at, What::Talks { balancer, start });
+        self.push(at, Occurrence::Talks { balancer, start });
     }
 
     fn posts(&mut self, from: u32, to: u32, bytes: Vec<u8>) {
@@ -95,7 +95,7 @@
         let post = self.next_post;
         self.next_post += 1;
         self.posts.insert(post, Post { from, to, bytes });
-        self.after(wait, What::Datagram { post });
+        self.after(wait, Occurrence::Datagram { post });
     }
 
     /// A datagram is there.
--- a/lab/src/engine/recovery.rs
+++ b/lab/src/engine/recovery.rs
@@ -11,7 +11,7 @@
 };
 
 use super::affinity::Places;
-use super::{Engine, Machine, What};
+use super::{Engine, Machine, Occurrence};
 use crate::mesh::{self, Talk};
 use crate::scenario::{FALL_S, TIP_MULTIPLE};
 use crate::{Nanos, SECOND, nanos};
@@ -185,7 +185,7 @@
         if let Some(at) = due.filter(|due| host.due.is_none_or(|old| old <= now || *due < old)) {
             host.due = Some(at);
             let start = self.nodes[balancer as usize].start;
-            self.push(at, What::Recovers { balancer, start });
+            self.push(at, Occurrence::Recovers { balancer, start });
         }
         out.into_iter().for_each(|action| self.follows(balancer, action));
     }
@@ -195,7 +195,7 @@
         match action {
             Action::Ask { whom: Whom::Discovery, after } => {
                 let at = self.now.saturating_add(after);
-                self.push(at, What::Asks { balancer, start });
+                self.push(at, Occurrence::Asks { balancer, start });
             }
             Action::Serve { how, .. } if how != How::NotYet => {
                 let now = self.now;
@@ -213,7 +213,7 @@
                 if !self.wire.happens(self.scenario.fleet.lost) {
                     let wait = self.wire.exponential(self.scenario.fleet.delay_ms / 1e3);
                     let bits = clients.to_bits();
-                    self.after(wait, What::Lent { to, from: balancer, number, bits });
+                    self.after(wait, Occurrence::Lent { to, from: balancer, number, bits });
                 }
             }
             _ => {}
@@ -224,11 +224,11 @@
     pub(super) fn asks(&mut self, balancer: u32) {
         if self.now < self.discovery_back_at {
             let start = self.nodes[balancer as usize].start;
-            return self.after(FAILS_AFTER, What::AskFails { balancer, start });
+            return self.after(FAILS_AFTER, Occurrence::AskFails { balancer, start });
         }
         let start = self.nodes[balancer as usize].start;
         let wait = self.way(self.scenario.net.discovery_ms);
-        self.after(wait, What::Listed { balancer, start, full: true });
+        self.after(wait, Occurrence::Listed { balancer, start, full: true });
     }
 
     /// Discovery's list is there.
--- a/lab/src/engine/troubles.rs
+++ b/lab/src/engine/troubles.rs
@@ -3,7 +3,7 @@
 use beaconflow::api::{Event, Note, Outcome, RequestId, State};
 
 use super::recovery::Host;
-use super::{Engine, Node, Phase, Request, What};
+use super::{Engine, Node, Occurrence, Phase, Request};
 use crate::gateway::Gateway;
 use crate::scenario::Failure;
 use crate::{Nanos, SECOND, nanos};
@@ -19,7 +19,7 @@
         if self.scenario.fleet.affinity {
             self.deals_anew();
         }
-        self.push(self.now + SECOND, What::Second);
+        self.push(self.now + SECOND, Occurrence::Second);
         let aim = self
             .scenario
             .classes
@@ -33,7 +33,7 @@
                 continue;
             }
             for request in machine.gateway.sheds(self.now) {
-                self.push(self.now, What::Drops { request });
+                self.push(self.now, Occurrence::Drops { request });
             }
             let machine = &mut self.machines[at];
             machine.gateway.advance(self.now);
@@ -84,7 +84,11 @@
             for request in self.machines[at].gateway.ids() {
                 if self.chance.happens(part) {
                     let wait = self.chance.even() * within as f64;
-                    let what = if by_client { What::Leaves { request } } else { What::Drops { request } };
+                    let what = if by_client {
+                        Occurrence::Leaves { request }
+                    } else {
+                        Occurrence::Drops { request }
+                    };
                     self.push(self.now.saturating_add(wait as Nanos), what);
                 }
             }
@@ -93,8 +97,9 @@
 
     pub(super) fn fails(&mut self, failure: u32) {
         let scenario = self.scenario;
-        let goes_on =
-            |engine: &mut Engine<'s>, span: f64, part: u8| engine.after(span, What::GoesOn { failure, part });
+        let goes_on = |engine: &mut Engine<'s>, span: f64, part: u8| {
+            engine.after(span, Occurrence::GoesOn { failure, part })
+        };
         match scenario.failures[failure as usize].get_ref() {
             Failure::Hang { for_s, gateways, .. } => {
                 let until = self.now.saturating_add(nanos(*for_s));
@@ -150,7 +155,7 @@
             }
             Failure::ConfigRoll { step_s, .. } => {
                 for balancer in 0..scenario.balancers {
-                    self.after(f64::from(balancer) * step_s, What::Adopts { balancer, failure });
+                    self.after(f64::from(balancer) * step_s, Occurrence::Adopts { balancer, failure });
                 }
             }
             Failure::UplinkLost { for_s, .. } => {
@@ -180,7 +185,7 @@
                 gateways.iter().for_each(|gateway| self.goes_down(*gateway, *for_s));
                 self.list_changes();
                 let span = *for_s;
-                self.after(span, What::GoesOn { failure, part: 1 });
+                self.after(span, Occurrence::GoesOn { failure, part: 1 });
             }
             (Failure::Drain { gateways, .. } | Failure::Crash { gateways, .. }, _) => {
                 gateways.iter().for_each(|gateway| self.comes_up(*gateway));
@@ -242,10 +247,10 @@
         }
         // Set-ups under way break, and nothing is kept of them.
         let mut out = Vec::new();
-        self.passes.retain(|_, pass| {
-            let stays = pass.gateway != gateway;
+        self.set_ups.retain(|_, set_up| {
+            let stays = set_up.gateway != gateway;
             if !stays {
-                out.push((pass.request, pass.attempt));
+                out.push((set_up.request, set_up.attempt));
             }
             stays
         });
