Tests' support: one way to wait for something, and to accept what has come

Cause: the loop that looks again until a deadline, and the accept without blocking, stood several times in support/peer.rs and tests/overrides/. List of tests: no difference.

--- a/cli/tests/overrides/balancer.rs
+++ b/cli/tests/overrides/balancer.rs
@@ -3,7 +3,6 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::{Duration, Instant};
 
 use crate::support::{self, *};
 
@@ -117,20 +116,12 @@
         (number, client, server)
     }
 
-    /// The next pass, at whichever server it comes in.
+    /// The next attempt, at whichever server it comes in.
     pub fn asked(&self) -> (usize, Peer) {
-        let until = Instant::now() + PATIENCE;
-        loop {
-            for (number, (_, server)) in self.servers.iter().enumerate() {
-                server.set_nonblocking(true).expect("open");
-                if let Ok((stream, _)) = server.accept() {
-                    stream.set_nonblocking(false).expect("open");
-                    return (number, Peer::new(stream));
-                }
-            }
-            assert!(Instant::now() < until, "no server was asked");
-            std::thread::sleep(Duration::from_millis(1));
-        }
+        let come = |(number, (_, server)): (usize, &(String, TcpListener))| {
+            Some((number, Peer::accept_now(server)?))
+        };
+        wait_for("an attempt at a server", || self.servers.iter().enumerate().find_map(come))
     }
 
     /// Where so many connections go, one after the other; all stay open.
--- a/cli/tests/overrides/durable.rs
+++ b/cli/tests/overrides/durable.rs
@@ -1,7 +1,5 @@
 //! What is kept of overrides through restarts, kills, and stores that fail.
 
-use std::time::{Duration, Instant};
-
 use crate::balancer::{Site, body, out};
 use crate::support::*;
 
@@ -22,11 +20,7 @@
         assert!(went.iter().all(|number| *number == 1), "nothing went there before it was known: {went:?}");
     }
     // The second one's time was up while the program was down, or is by now.
-    let until = Instant::now() + PATIENCE;
-    while site.api.overrides().len() > 1 {
-        assert!(Instant::now() < until, "it never ended");
-        std::thread::sleep(Duration::from_millis(10));
-    }
+    wait_for("its end", || (site.api.overrides().len() <= 1).then_some(()));
     assert_eq!(site.api.call("GET", &format!("/v1/overrides/{ends}"), "").status, 404);
     // Its number is not given again.
     assert!(site.api.add(&out("s9", 60.0)) > ends);
--- a/cli/tests/overrides/effect.rs
+++ b/cli/tests/overrides/effect.rs
@@ -36,11 +36,7 @@
     assert!((-0.002..0.6).contains(&late), "{late} {said}");
     assert!(said.contains("who=ada") && said.contains("why=maintenance"), "{said}");
     assert!(site.api.overrides().is_empty());
-    let until = Instant::now() + PATIENCE;
-    while site.api.server("s0")["effective"]["weight"] != 1.0 {
-        assert!(Instant::now() < until, "its weight never came back");
-        std::thread::sleep(Duration::from_millis(10));
-    }
+    wait_for("its weight", || (site.api.server("s0")["effective"]["weight"] == 1.0).then_some(()));
     let (went, _more) = site.spread(8);
     assert!(went.contains(&0), "it is back: {went:?}");
 }
--- a/cli/tests/support/mod.rs
+++ b/cli/tests/support/mod.rs
@@ -13,7 +13,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU8, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 #[allow(unused_imports, reason = "each test file uses its part")]
 pub use self::{
@@ -33,6 +33,21 @@
     "policy-limits":{"max-attempts":4,"connect-timeout-ns":200000000,"retry-after":true,"max-retry-after-ns":2000000000},
     "rules":{"cold-share":0.2,"cold-ns":20000000000,"tip-multiple":3.0,"fall-ns":1500000000,"ask-within-ns":10000000000}}"#;
 
+/// A condition that is waited for is looked at this often.
+const LOOK: Duration = Duration::from_millis(1);
+
+/// Waits until something is there, and gives it. Guards against a test that would wait without an end.
+pub fn wait_for<T>(what: &str, look: impl Fn() -> Option<T>) -> T {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        if let Some(found) = look() {
+            return found;
+        }
+        assert!(Instant::now() < until, "never came: {what}");
+        std::thread::sleep(LOOK);
+    }
+}
+
 /// A listener at an address that nobody else in this process or another test's has.
 pub fn listener() -> TcpListener {
     static NEXT: AtomicU8 = AtomicU8::new(1);
--- a/cli/tests/support/peer.rs
+++ b/cli/tests/support/peer.rs
@@ -4,7 +4,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
-use super::PATIENCE;
+use super::{PATIENCE, wait_for};
 
 /// One end of a connection that speaks lines.
 pub struct Peer {
@@ -32,18 +32,15 @@
 
     /// The next connection. Guards against a test that would wait without an end.
     pub fn accept(from: &TcpListener) -> Peer {
-        let until = Instant::now() + PATIENCE;
+        wait_for("a connection", || Peer::accept_now(from))
+    }
+
+    /// A connection that has come already.
+    pub fn accept_now(from: &TcpListener) -> Option<Peer> {
         from.set_nonblocking(true).expect("open");
-        loop {
-            match from.accept() {
-                Ok((stream, _)) => {
-                    stream.set_nonblocking(false).expect("open");
-                    return Peer::new(stream);
-                }
-                Err(error) => assert!(Instant::now() < until, "no connection: {error}"),
-            }
-            std::thread::sleep(Duration::from_millis(1));
-        }
+        let (stream, _) = from.accept().ok()?;
+        stream.set_nonblocking(false).expect("open");
+        Some(Peer::new(stream))
     }
 
     pub fn say(&mut self, words: &str) {
