Shorter functions in links, test servers, the laboratory and the fleet's start

Change: a flow's write, a test server's answers, the laboratory's tables (show.rs), Machine::new, Measures::new, and the start of the fleet's threads, in functions of their own. List of tests: no difference.

--- a/balancer/src/fleet/setup.rs
+++ b/balancer/src/fleet/setup.rs
@@ -7,10 +7,10 @@
 
 use beaconflow::api::Settings;
 use beaconflow_affinity::{Bound, Class, Limits, Memory as Placements, Routing, Server, Version};
-use beaconflow_knowledge::{Knowledge, Origin};
+use beaconflow_knowledge::{Change, Knowledge, Origin};
 use beaconflow_peers::{self as peers, Configuration, Key, Keys, Node, Profile, driver};
 use beaconflow_settings::{Setup, digest};
-use crossbeam_channel::{Receiver, bounded, unbounded};
+use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
 use tracing::info;
 
 use super::carry::{self, Carried, Shared};
@@ -146,24 +146,51 @@
     /// Runs it on a thread of its own, with the peers' on another.
     pub fn start(self, core: Handle) -> Result<FleetHandle, String> {
         let (news, changes) = unbounded();
+        let known = self.knowledge(news);
+        let (tell, events) = bounded(EVENTS);
+        let peers = self.start_peers(&known, tell)?;
+        let (commands, received) = unbounded();
+        let shown: Arc<Mutex<Status>> = Arc::default();
+        let handle = FleetHandle { commands, shown: Arc::clone(&shown) };
+        info!(part = "peers", name = self.file.name, site = self.file.site, boot = self.boot, on = %self.file.listen, "part of a fleet");
+        let (thread, restored, observations) = self.into_thread(core, known, peers, shown);
+        let inputs = Inputs { observations, changes, events, commands: received };
+        let run = move || thread.run(restored, inputs);
+        let spawned = std::thread::Builder::new().name("fleet".into()).spawn(run);
+        spawned.map_err(|error| format!("thread fleet: {error}"))?;
+        Ok(handle)
+    }
+
+    /// What is known together, as this process starts with it: nothing.
+    fn knowledge(&self, news: Sender<Vec<Change>>) -> Shared {
         let bounds =
             carry::bounds(self.file.affinity.most, millis(self.file.affinity.keep), driver::random());
         let origin = Origin { name: self.file.name.clone(), boot: self.boot };
-        let known = Carried::shared(Knowledge::new(origin, bounds), news);
-        let (tell, events) = bounded(EVENTS);
-        let node = self.node(Arc::clone(&known))?;
+        Carried::shared(Knowledge::new(origin, bounds), news)
+    }
+
+    fn start_peers(&self, known: &Shared, tell: Sender<peers::Event>) -> Result<driver::Handle, String> {
+        let node = self.node(Arc::clone(known))?;
         let bound = |error: std::io::Error| format!("fleet.listen {}: {error}", self.file.listen);
         let link = driver::Udp::new(UdpSocket::bind(self.file.listen).map_err(bound)?);
         let clock = self.clock;
-        let peers = driver::spawn(node, link, move || clock.now() / 1_000_000, tell)
-            .map_err(|error| format!("thread peers: {error}"))?;
-        let (commands, received) = unbounded();
-        let shown: Arc<Mutex<Status>> = Arc::default();
-        let handle = FleetHandle { commands, shown: Arc::clone(&shown) };
-        info!(part = "peers", name = self.file.name, site = self.file.site, boot = self.boot, on = %self.file.listen, "part of a fleet");
+        driver::spawn(node, link, move || clock.now() / 1_000_000, tell)
+            .map_err(|error| format!("thread peers: {error}"))
+    }
+
+    /// What the thread has at its start, what is restored, and where it hears what the core saw.
+    fn into_thread(
+        self,
+        core: Handle,
+        known: Shared,
+        peers: driver::Handle,
+        shown: Arc<Mutex<Status>>,
+    ) -> (Thread, Restored, Receiver<Witness>) {
+        let now = self.clock.now();
+        let (name, site) = (self.file.name.clone(), self.file.site.clone());
         let thread = Thread {
-            now: clock.now(),
-            since: clock.now(),
+            now,
+            since: now,
             serving_since: None,
             in_full: false,
             settling: None,
@@ -175,14 +202,9 @@
             standing: 0,
             tell_at: 0,
             status_at: 0,
-            status: Status {
-                name: self.file.name.clone(),
-                site: self.file.site.clone(),
-                boot: self.boot,
-                ..Status::default()
-            },
+            status: Status { name, site, boot: self.boot, ..Status::default() },
             file: self.file,
-            clock,
+            clock: self.clock,
             boot: self.boot,
             version: self.version,
             core,
@@ -196,12 +218,7 @@
             failures_good: self.failures_good,
             shown,
         };
-        let restored = self.restored;
-        let inputs = Inputs { observations: self.observations, changes, events, commands: received };
-        let run = move || thread.run(restored, inputs);
-        let spawned = std::thread::Builder::new().name("fleet".into()).spawn(run);
-        spawned.map_err(|error| format!("thread fleet: {error}"))?;
-        Ok(handle)
+        (thread, self.restored, self.observations)
     }
 
     fn node(&self, known: Shared) -> Result<Node<Shared>, String> {
--- a/faults/src/flow.rs
+++ b/faults/src/flow.rs
@@ -46,6 +46,16 @@
     next_piece: Option<Instant>,
 }
 
+impl Flow {
+    /// Nothing more comes or goes.
+    fn give_up(&mut self) {
+        self.waiting.clear();
+        self.bytes = 0;
+        self.finished = true;
+        self.ended = true;
+    }
+}
+
 /// What was seen of a connection, for whoever observes its link.
 #[derive(Clone, Copy)]
 pub enum Observation<'a> {
@@ -178,9 +188,9 @@
         impairment: &mut Impairment,
         observe: &mut dyn FnMut(Observation<'_>),
     ) -> Progress {
-        let flow = &mut self.flows[direction];
-        let into = &mut self.streams[1 - direction];
-        while let Some((due, item)) = flow.waiting.front_mut() {
+        loop {
+            let flow = &mut self.flows[direction];
+            let Some((due, item)) = flow.waiting.front() else { return Progress::Wait(None) };
             if impairment.cut || impairment.left == Some(0) {
                 return Progress::Wait(None);
             }
@@ -198,46 +208,51 @@
                     return Progress::Over;
                 }
                 Item::Finish => {
-                    let _ = into.shutdown(Shutdown::Write);
+                    let _ = self.streams[1 - direction].shutdown(Shutdown::Write);
                     flow.finished = true;
+                    flow.waiting.pop_front();
                     if direction == 1 {
                         observe(Observation::FarEnded);
                     }
-                    flow.waiting.pop_front();
                 }
-                Item::Bytes(bytes) => {
-                    let most = impairment
-                        .left
-                        .unwrap_or(usize::MAX)
-                        .min(impairment.dribble.map_or(usize::MAX, |(size, _)| size));
-                    let piece = bytes.len().min(most.max(1));
-                    match into.write(&bytes[..piece]) {
-                        Ok(count) => {
-                            if direction == 1 {
-                                observe(Observation::ToNear(&bytes[..count]));
-                            }
-                            bytes.drain(..count);
-                            flow.bytes -= count;
-                            impairment.left = impairment.left.map(|left| left - count);
-                            flow.next_piece = impairment.dribble.map(|(_, every)| now + every);
-                            if bytes.is_empty() {
-                                flow.waiting.pop_front();
-                            }
-                        }
-                        Err(error) if error.kind() == ErrorKind::WouldBlock => return Progress::Wait(None),
-                        Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                        Err(_) => {
-                            // Its reader is gone; the reset that it sent is read on the other direction.
-                            flow.waiting.clear();
-                            flow.bytes = 0;
-                            flow.finished = true;
-                            flow.ended = true;
-                            return Progress::Wait(Some(now));
-                        }
+                Item::Bytes(_) => match self.write_piece(direction, impairment, now, observe) {
+                    Ok(()) => {}
+                    Err(error) if error.kind() == ErrorKind::WouldBlock => return Progress::Wait(None),
+                    Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                    Err(_) => {
+                        // Its reader is gone; the reset that it sent is read on the other direction.
+                        self.flows[direction].give_up();
+                        return Progress::Wait(Some(now));
                     }
-                }
+                },
             }
         }
-        Progress::Wait(None)
+    }
+
+    /// Writes as much of what waits first as may pass at once.
+    fn write_piece(
+        &mut self,
+        direction: usize,
+        impairment: &mut Impairment,
+        now: Instant,
+        observe: &mut dyn FnMut(Observation<'_>),
+    ) -> io::Result<()> {
+        let flow = &mut self.flows[direction];
+        let Some((_, Item::Bytes(bytes))) = flow.waiting.front_mut() else { return Ok(()) };
+        let most_at_once = impairment.dribble.map_or(usize::MAX, |(size, _)| size);
+        let most = impairment.left.unwrap_or(usize::MAX).min(most_at_once);
+        let piece = bytes.len().min(most.max(1));
+        let count = self.streams[1 - direction].write(&bytes[..piece])?;
+        if direction == 1 {
+            observe(Observation::ToNear(&bytes[..count]));
+        }
+        bytes.drain(..count);
+        flow.bytes -= count;
+        impairment.left = impairment.left.map(|left| left - count);
+        flow.next_piece = impairment.dribble.map(|(_, every)| now + every);
+        if bytes.is_empty() {
+            flow.waiting.pop_front();
+        }
+        Ok(())
     }
 }
--- a/faults/src/server.rs
+++ b/faults/src/server.rs
@@ -314,6 +314,7 @@
     Verdict::Serve { number, at: state.free_at }
 }
 
+/// Hears an opening, and does what is made of it.
 fn serve(mut stream: &TcpStream, shared: &Shared, life: u64) {
     let mut reader = BufReader::new(stream);
     let mut line = String::new();
@@ -325,31 +326,40 @@
         let _ = stream.write_all(b"SYNTAX\r\n");
         return;
     };
-    let (number, at) = match judge(shared, key, stream, life) {
-        Verdict::Serve { number, at } => (number, at),
-        Verdict::Busy => {
-            let _ = stream.write_all(b"BUSY\r\n");
-            return;
-        }
-        Verdict::Hang => {
-            hang(&mut reader, shared, life);
-            return;
-        }
-        Verdict::Over => return,
-    };
-    // Set-ups are its work: they take their turn.
+    match judge(shared, key, stream, life) {
+        Verdict::Serve { number, at } => serve_from(at, number, &mut reader, shared, life),
+        Verdict::Busy => drop(stream.write_all(b"BUSY\r\n")),
+        Verdict::Hang => hang(&mut reader, shared, life),
+        Verdict::Over => {}
+    }
+}
+
+/// Serves a client once its set-up is done, until either ends. Set-ups are its work: they take their turn.
+fn serve_from(at: Instant, number: u64, reader: &mut BufReader<&TcpStream>, shared: &Shared, life: u64) {
     std::thread::sleep(at.saturating_duration_since(Instant::now()));
     if shared.lock().life != life {
         return;
     }
+    let mut stream = *reader.get_ref();
     let receipt = format!("UP {}.{life}.{number}\r\n", shared.name);
-    let mut sound = stream.write_all(receipt.as_bytes()).is_ok();
-    while sound {
-        line.clear();
-        sound = reader.read_line(&mut line).unwrap_or(0) > 0;
-        if !sound {
-            break;
-        }
+    if stream.write_all(receipt.as_bytes()).is_ok() {
+        answer_lines(reader, shared, life);
+    }
+    let mut state = shared.lock();
+    if state.life != life {
+        return;
+    }
+    state.streams.remove(&number);
+    state.keys.remove(&number);
+    drop(state);
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
+/// Answers line by line, none while it hangs, until the client ends or this life does.
+fn answer_lines(reader: &mut BufReader<&TcpStream>, shared: &Shared, life: u64) {
+    let mut stream = *reader.get_ref();
+    let mut line = String::new();
+    while reader.read_line(&mut line).unwrap_or(0) > 0 {
         let state = shared.lock();
         let mut state = shared
             .changed
@@ -361,16 +371,11 @@
         state.lines += 1;
         drop(state);
         let answer = line.replacen("M ", "OK ", 1);
-        sound = stream.write_all(answer.as_bytes()).is_ok();
-    }
-    let mut state = shared.lock();
-    if state.life != life {
-        return;
+        if stream.write_all(answer.as_bytes()).is_err() {
+            return;
+        }
+        line.clear();
     }
-    state.streams.remove(&number);
-    state.keys.remove(&number);
-    drop(state);
-    let _ = stream.shutdown(Shutdown::Both);
 }
 
 /// Hears whatever comes and says nothing, until the peer has enough.
--- a/lab/src/engine.rs
+++ b/lab/src/engine.rs
@@ -18,15 +18,14 @@
 mod troubles;
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::BinaryHeap;
 
-use beaconflow::api::{Action, State};
+use beaconflow::api::Action;
 use rustc_hash::FxHashMap;
 
 use crate::chance::Chance;
 use crate::checker::Checker;
-use crate::gateway::Gateway;
-use crate::measures::{FleetFigures, Measures, Served};
+use crate::measures::Measures;
 use crate::mesh;
 use crate::policies::Policy;
 use crate::scenario::Scenario;
@@ -90,26 +89,6 @@
     /// A run that has not begun.
     pub fn new(scenario: &'s Scenario, policy: Policy) -> Engine<'s> {
         let seed = scenario.seed;
-        let accounts = if scenario.accounts.is_empty() { vec!["all"] } else { Vec::new() };
-        let accounts =
-            accounts.into_iter().chain(scenario.accounts.iter().map(|account| account.name.as_str()));
-        let measures = Measures {
-            classes: scenario.classes.iter().map(|class| Served::new(&class.name)).collect(),
-            accounts: accounts.map(Served::new).collect(),
-            seconds: Vec::new(),
-            events: 0,
-            fleet: FleetFigures::default(),
-        };
-        let machine = |_| Machine {
-            gateway: Gateway::new(scenario.make.clone(), 0, true),
-            start: 0,
-            listed: State::Ready,
-            up: true,
-            down_until: 0,
-            hangs_until: 0,
-            slow: false,
-            sent: VecDeque::new(),
-        };
         let mut engine = Engine {
             scenario,
             policy,
@@ -127,7 +106,7 @@
             set_ups: FxHashMap::default(),
             next_set_up: 0,
             nodes: Vec::new(),
-            machines: (0..scenario.gateways).map(machine).collect(),
+            machines: (0..scenario.gateways).map(|_| Machine::new(&scenario.make)).collect(),
             store: scenario.store.as_ref().map(|store| Store::new(store.at_once, store.mean_ms / 1e3)),
             resets: Vec::new(),
             discovery_back_at: 0,
@@ -145,7 +124,7 @@
             posts: FxHashMap::default(),
             next_post: 0,
             wire: Chance::new(seed, 5),
-            measures,
+            measures: Measures::new(scenario),
             checker: Checker::default(),
         };
         engine.nodes = (0..scenario.balancers).map(|rank| engine.node(rank, 0)).collect();
--- a/lab/src/engine/model.rs
+++ b/lab/src/engine/model.rs
@@ -6,7 +6,7 @@
 use beaconflow_instance::Decides;
 
 use crate::Nanos;
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, Make};
 
 pub(super) struct Client {
     pub(super) class: u32,
@@ -80,3 +80,19 @@
     /// Set-ups that came lately, while it was cold.
     pub(super) sent: VecDeque<Nanos>,
 }
+
+impl Machine {
+    /// One that has been warm for long.
+    pub(super) fn new(make: &Make) -> Machine {
+        Machine {
+            gateway: Gateway::new(make.clone(), 0, true),
+            start: 0,
+            listed: State::Ready,
+            up: true,
+            down_until: 0,
+            hangs_until: 0,
+            slow: false,
+            sent: VecDeque::new(),
+        }
+    }
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,6 +2,8 @@
 
 #![forbid(unsafe_code)]
 
+mod show;
+
 use std::io::{IsTerminal, Write};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -11,11 +13,10 @@
 use beaconflow_lab::SECOND;
 use beaconflow_lab::compare;
 use beaconflow_lab::engine::Engine;
-use beaconflow_lab::measures::{Saved, SavedServed, Served};
+use beaconflow_lab::measures::{Saved, SavedServed};
 use beaconflow_lab::policies::Policy;
 use beaconflow_lab::scenario::Scenario;
 use clap::{Parser, Subcommand};
-use comfy_table::{ContentArrangement, Table, presets};
 
 /// The form of saved results.
 const SCHEMA: &str = "beaconflow-lab result 1";
@@ -151,7 +152,7 @@
     if let Some(file) = save {
         std::fs::write(file, &text).map_err(|error| format!("{}: {error}", file.display()))?;
     }
-    let shown = if json { text } else { table(&engine, took, scenario.seed, scenario.tells_fleet()) };
+    let shown = if json { text } else { show::table(&engine, took, scenario.seed, scenario.tells_fleet()) };
     // A reader that has gone away is no fault.
     let _ = writeln!(std::io::stdout(), "{}", shown.trim_end());
     Ok(engine.checker.count == 0)
@@ -176,43 +177,7 @@
     if live {
         eprintln!();
     }
-    let mut table = Table::new();
-    table.load_preset(presets::NOTHING).set_content_arrangement(ContentArrangement::Disabled).set_header([
-        "",
-        "FIRST",
-        "SECOND",
-        "DIFFERENCE",
-        "95% INTERVAL",
-        "",
-    ]);
-    let mut rows = Vec::new();
-    for (at, (name, more_is_better)) in compare::FIGURES.into_iter().enumerate() {
-        let of: Vec<(f64, f64)> =
-            pairs.iter().filter_map(|[one, other]| one.get(at).zip(other.get(at))).collect();
-        if of.is_empty() {
-            continue;
-        }
-        let mean = |side: fn(&(f64, f64)) -> f64| of.iter().map(side).sum::<f64>() / of.len() as f64;
-        let (first, second) = (mean(|pair| pair.0), mean(|pair| pair.1));
-        let (difference, low, high) = compare::difference(&of, seeds);
-        let verdict = match (low > 0.0, high < 0.0) {
-            (false, false) => "no difference shown",
-            (up, _) if up == more_is_better => "the second is better",
-            _ => "the first is better",
-        };
-        table.add_row([
-            name.to_owned(),
-            format!("{first:.4}"),
-            format!("{second:.4}"),
-            format!("{difference:+.4}"),
-            format!("{low:+.4} to {high:+.4}"),
-            verdict.to_owned(),
-        ]);
-        rows.push(serde_json::json!({
-            "figure": name, "first": first, "second": second, "difference": difference, "low": low, "high": high,
-            "verdict": verdict,
-        }));
-    }
+    let (table, rows) = show::comparison(&pairs, seeds);
     let broken: u64 = pairs.iter().flatten().map(|figures| figures.broken).sum();
     let shown = if json {
         serde_json::json!({ "seeds": seeds, "figures": rows, "broken": broken }).to_string()
@@ -223,90 +188,9 @@
             policies.0,
             second.display(),
             policies.1,
-            table.trim_fmt()
+            table
         )
     };
     let _ = writeln!(std::io::stdout(), "{}", shown.trim_end());
     Ok(broken == 0)
 }
-
-fn table(engine: &Engine<'_>, took: f64, seed: u64, talks: bool) -> String {
-    let measures = &engine.measures;
-    let mut table = Table::new();
-    table
-        .load_preset(presets::NOTHING)
-        .set_content_arrangement(ContentArrangement::Disabled)
-        .set_header(["", "WANTED", "IN TIME", "LATE", "GAVE UP", "P50", "P99"]);
-    let mut row = |what: &str, served: &Served| {
-        let at = |quantile| format!("{:.1} ms", served.took.value_at_quantile(quantile) as f64 / 1e3);
-        table.add_row([
-            format!("{what} {}", served.name),
-            served.wanted.to_string(),
-            format!("{:.2}%", served.part() * 100.0),
-            served.late.to_string(),
-            served.gave_up.to_string(),
-            at(0.5),
-            at(0.99),
-        ]);
-    };
-    measures.classes.iter().for_each(|served| row("class", served));
-    measures.accounts.iter().for_each(|served| row("account", served));
-    let highest = measures.seconds.iter().map(|second| second.highest_load).fold(0.0, f64::max);
-    let mut text = table.trim_fmt();
-    text.push_str(&format!(
-        "\nattempts {}, refused {}, failed {}, moved {}, cut off {}, highest load of a gateway {highest:.2}\n",
-        measures.sum(|second| second.attempts),
-        measures.sum(|second| second.refused),
-        measures.sum(|second| second.failed),
-        measures.sum(|second| second.moved),
-        measures.sum(|second| second.cut),
-    ));
-    if let Some(fleet) = measures.fleet.saved(talks) {
-        text.push_str(&format!(
-            "returned while their gateway stood {}, got it {:.2}%, dealt anew by a configuration {}, \
-             evened out {}\n",
-            fleet.owed,
-            fleet.landed * 100.0,
-            fleet.redealt,
-            fleet.evened
-        ));
-        text.push_str(&format!(
-            "cold gateways fallen {}, most sent {:.2} of what makes one fall\n",
-            fleet.fallen, fleet.most_sent
-        ));
-        if measures.fleet.island.is_some() {
-            text.push_str(&format!(
-                "without uplink: wanted {}, in time {:.2}%, p99 {:.1} ms, probes beyond {}; merged {}, the first {:.1} s after \
-                 the return, the last {:.1} s after the first\n",
-                fleet.island_wanted,
-                fleet.island_served * 100.0,
-                fleet.island_p99_ms,
-                fleet.probes,
-                fleet.merged,
-                fleet.merge_first_s,
-                fleet.merge_span_s
-            ));
-        }
-        if measures.fleet.power.is_some() {
-            let shown = |value: Option<f64>| value.map_or("never".to_owned(), |value| format!("{value:.2}"));
-            text.push_str(&format!(
-                "99% of the former worth stands again after {} s, {} times what a refill takes that sees all\n",
-                shown(fleet.power_took_s),
-                shown(fleet.power_ratio)
-            ));
-        }
-    }
-    text.push_str(&format!(
-        "seed {seed}: {} events in {took:.2} s, {:.2} million a second\n",
-        measures.events,
-        measures.events as f64 / took / 1e6
-    ));
-    for broken in engine.checker.broken() {
-        text.push_str(&format!("broken at {broken}\n"));
-    }
-    text.push_str(&match engine.checker.count {
-        0 => "every rule was kept\n".to_owned(),
-        count => format!("{count} times a rule was broken\n"),
-    });
-    text
-}
--- a/lab/src/measures.rs
+++ b/lab/src/measures.rs
@@ -3,6 +3,7 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
+use crate::scenario::Scenario;
 use crate::{Nanos, SECOND};
 
 /// Counts of one class or account.
@@ -165,6 +166,20 @@
 }
 
 impl Measures {
+    /// Of a run that has not begun: its classes, and its accounts or one for all.
+    pub fn new(scenario: &Scenario) -> Measures {
+        let classes = scenario.classes.iter().map(|class| Served::new(&class.name));
+        let accounts = scenario.accounts.iter().map(|account| Served::new(&account.name));
+        let all = scenario.accounts.is_empty().then(|| Served::new("all"));
+        Measures {
+            classes: classes.collect(),
+            accounts: all.into_iter().chain(accounts).collect(),
+            seconds: Vec::new(),
+            events: 0,
+            fleet: FleetFigures::default(),
+        }
+    }
+
     /// The second that a moment lies in.
     pub fn at(&mut self, now: Nanos) -> &mut Second {
         let second = (now / SECOND) as usize;
--- /dev/null
+++ b/lab/src/show.rs
@@ -0,0 +1,148 @@
+//! What a run and a comparison of runs came to, as tables for people.
+
+use beaconflow_lab::compare::{self, Figures};
+use beaconflow_lab::engine::Engine;
+use beaconflow_lab::measures::{Measures, SavedFleet, Served};
+use comfy_table::{ContentArrangement, Table, presets};
+use serde_json::{Value, json};
+
+fn empty_table(header: &[&str]) -> Table {
+    let mut table = Table::new();
+    table
+        .load_preset(presets::NOTHING)
+        .set_content_arrangement(ContentArrangement::Disabled)
+        .set_header(header);
+    table
+}
+
+/// What one run came to. `talks` says whether its balancers talked to each other.
+pub(crate) fn table(engine: &Engine<'_>, took: f64, seed: u64, talks: bool) -> String {
+    let measures = &engine.measures;
+    let mut text = served(measures) + &attempts(measures);
+    if let Some(fleet) = measures.fleet.saved(talks) {
+        text.push_str(&together(measures, &fleet));
+    }
+    text.push_str(&format!(
+        "seed {seed}: {} events in {took:.2} s, {:.2} million a second\n",
+        measures.events,
+        measures.events as f64 / took / 1e6
+    ));
+    for broken in engine.checker.broken() {
+        text.push_str(&format!("broken at {broken}\n"));
+    }
+    text.push_str(&match engine.checker.count {
+        0 => "every rule was kept\n".to_owned(),
+        count => format!("{count} times a rule was broken\n"),
+    });
+    text
+}
+
+/// What each class and each account got.
+fn served(measures: &Measures) -> String {
+    let mut table = empty_table(&["", "WANTED", "IN TIME", "LATE", "GAVE UP", "P50", "P99"]);
+    let mut row = |what: &str, served: &Served| {
+        let at = |quantile| format!("{:.1} ms", served.took.value_at_quantile(quantile) as f64 / 1e3);
+        table.add_row([
+            format!("{what} {}", served.name),
+            served.wanted.to_string(),
+            format!("{:.2}%", served.part() * 100.0),
+            served.late.to_string(),
+            served.gave_up.to_string(),
+            at(0.5),
+            at(0.99),
+        ]);
+    };
+    measures.classes.iter().for_each(|served| row("class", served));
+    measures.accounts.iter().for_each(|served| row("account", served));
+    table.trim_fmt()
+}
+
+/// What the servers saw.
+fn attempts(measures: &Measures) -> String {
+    let highest = measures.seconds.iter().map(|second| second.highest_load).fold(0.0, f64::max);
+    format!(
+        "\nattempts {}, refused {}, failed {}, moved {}, cut off {}, highest load of a gateway {highest:.2}\n",
+        measures.sum(|second| second.attempts),
+        measures.sum(|second| second.refused),
+        measures.sum(|second| second.failed),
+        measures.sum(|second| second.moved),
+        measures.sum(|second| second.cut),
+    )
+}
+
+/// What the balancers came to together.
+fn together(measures: &Measures, fleet: &SavedFleet) -> String {
+    let mut text = format!(
+        "returned while their gateway stood {}, got it {:.2}%, dealt anew by a configuration {}, \
+         evened out {}\n",
+        fleet.owed,
+        fleet.landed * 100.0,
+        fleet.redealt,
+        fleet.evened
+    );
+    text.push_str(&format!(
+        "cold gateways fallen {}, most sent {:.2} of what makes one fall\n",
+        fleet.fallen, fleet.most_sent
+    ));
+    if measures.fleet.island.is_some() {
+        text.push_str(&format!(
+            "without uplink: wanted {}, in time {:.2}%, p99 {:.1} ms, probes beyond {}; merged {}, the first {:.1} s after \
+             the return, the last {:.1} s after the first\n",
+            fleet.island_wanted,
+            fleet.island_served * 100.0,
+            fleet.island_p99_ms,
+            fleet.probes,
+            fleet.merged,
+            fleet.merge_first_s,
+            fleet.merge_span_s
+        ));
+    }
+    if measures.fleet.power.is_some() {
+        let shown = |value: Option<f64>| value.map_or("never".to_owned(), |value| format!("{value:.2}"));
+        text.push_str(&format!(
+            "99% of the former worth stands again after {} s, {} times what a refill takes that sees all\n",
+            shown(fleet.power_took_s),
+            shown(fleet.power_ratio)
+        ));
+    }
+    text
+}
+
+/// Each figure of two scenarios or policies over pairs of runs, as a table and as rows for programs.
+pub(crate) fn comparison(pairs: &[[Figures; 2]], seeds: u64) -> (String, Vec<Value>) {
+    let mut table = empty_table(&["", "FIRST", "SECOND", "DIFFERENCE", "95% INTERVAL", ""]);
+    let mut rows = Vec::new();
+    for (at, (name, more_is_better)) in compare::FIGURES.into_iter().enumerate() {
+        let of: Vec<(f64, f64)> =
+            pairs.iter().filter_map(|[one, other]| one.get(at).zip(other.get(at))).collect();
+        if of.is_empty() {
+            continue;
+        }
+        let mean = |side: fn(&(f64, f64)) -> f64| of.iter().map(side).sum::<f64>() / of.len() as f64;
+        let (first, second) = (mean(|pair| pair.0), mean(|pair| pair.1));
+        let (difference, low, high) = compare::difference(&of, seeds);
+        let verdict = verdict((low, high), more_is_better);
+        table.add_row([
+            name.to_owned(),
+            format!("{first:.4}"),
+            format!("{second:.4}"),
+            format!("{difference:+.4}"),
+            format!("{low:+.4} to {high:+.4}"),
+            verdict.to_owned(),
+        ]);
+        rows.push(json!({
+            "figure": name, "first": first, "second": second, "difference": difference, "low": low, "high": high,
+            "verdict": verdict,
+        }));
+    }
+    (table.trim_fmt(), rows)
+}
+
+/// What an interval of the difference shows.
+fn verdict((low, high): (f64, f64), more_is_better: bool) -> &'static str {
+    match (low > 0.0, high < 0.0) {
+        (false, false) => "no difference shown",
+        (up, _) if up == more_is_better => "the second is better",
+        _ => "the first is better",
+    }
+}
