--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -125,7 +125,7 @@
         let name = need(message.balancer_id.as_deref(), "balancer-id")?;
         let setup: Setup = serde_json::from_str(need(message.setup, "setup")?.get())
             .map_err(|error| format!("setup: {error}"))?;
-        let settings = setup.module().map_err(|error| format!("setup: {error}"))?;
+        let settings = setup.module();
         let seed = need(message.nonce64, "nonce64")?;
         let shares = setup.shares().map(|(_, share)| share).collect();
         let instance =
--- a/adapter/tests/transcripts.rs
+++ b/adapter/tests/transcripts.rs
@@ -124,7 +124,7 @@
 #[test]
 fn settings_out_of_range_name_the_field() {
     let bad = power_on().replace("\"cold-share\":0.3", "\"cold-share\":7");
-    assert!(refused(&bad).contains("rules.cold_share"));
+    assert!(refused(&bad).contains("setup: rules.cold-share: must be"));
 }
 
 #[test]
--- a/admission/src/tally.rs
+++ b/admission/src/tally.rs
@@ -116,6 +116,13 @@
         tally.counts.asked += 1;
     }
 
+    /// An account's share is another one from now on, also before it asks again.
+    pub fn weigh(&mut self, account: u64, share: f64) {
+        let Some(tally) = self.by_account.get_mut(&account) else { return };
+        self.whole += share - tally.share;
+        tally.share = share;
+    }
+
     /// A request got its first attempt after this wait.
     pub fn admitted(&mut self, now: Nanos, account: u64, waited: Nanos) {
         let due = self.due(account);
--- a/balancer/src/config.rs
+++ b/balancer/src/config.rs
@@ -1,14 +1,18 @@
-//! What the platform tells a balancer at its start (`LB_CONFIG`).
+//! What the platform tells a balancer at its start (`LB_CONFIG`), and again with a new file while it runs.
 
 use std::net::SocketAddr;
+use std::sync::{Arc, PoisonError, RwLock};
 
-use beaconflow_settings::Setup;
-use serde::Deserialize;
+use beaconflow_settings::{Faults, Fields, InForce, Met, Setup};
+use serde_json::Value;
 
 use crate::farm::List;
 
+/// Most file descriptors where the file says nothing of them: what the platform's own page shows.
+const USUAL_SOCKETS: usize = 4096;
+
 /// The platform's configuration file.
-#[derive(Clone, Deserialize)]
+#[derive(Clone)]
 pub struct Config {
     /// This balancer's name, the same after a restart.
     pub name: String,
@@ -17,36 +21,44 @@
     /// Where discovery listens.
     pub discovery: SocketAddr,
     /// Where the operators' staff call, if they do.
-    #[serde(default)]
     pub admin_addr: Option<String>,
     /// For random numbers, in hex digits; new with each start.
     pub seed: String,
     /// What the machine allows.
-    #[serde(default)]
     pub limits: Limits,
     /// The farm as this balancer last had it.
-    #[serde(default)]
     pub known: List,
     /// The settings of the site.
     pub settings: Setup,
 }
 
 /// What the machine allows.
-#[derive(Clone, Copy, Deserialize)]
+#[derive(Clone, Copy)]
 pub struct Limits {
     /// Most file descriptors.
-    #[serde(default = "usual_sockets")]
     pub sockets: usize,
 }
 
-impl Default for Limits {
-    fn default() -> Limits {
-        Limits { sockets: usual_sockets() }
+/// The settings in force, as the front reads openings by them. A new file replaces them as a whole.
+#[derive(Clone)]
+pub struct SharedSettings(Arc<RwLock<Arc<InForce>>>);
+
+impl SharedSettings {
+    /// The first settings of a process.
+    pub fn new(setup: Setup) -> SharedSettings {
+        SharedSettings(Arc::new(RwLock::new(Arc::new(InForce::new(setup)))))
+    }
+
+    /// Those in force at this moment.
+    pub fn now(&self) -> Arc<InForce> {
+        // A pointer is sound at every moment, whoever panicked.
+        Arc::clone(&self.0.read().unwrap_or_else(PoisonError::into_inner))
     }
-}
 
-fn usual_sockets() -> usize {
-    4096
+    /// Others are in force from now on.
+    pub fn replace(&self, by: Arc<InForce>) {
+        *self.0.write().unwrap_or_else(PoisonError::into_inner) = by;
+    }
 }
 
 impl Config {
@@ -54,12 +66,15 @@
     pub fn read() -> Result<Config, String> {
         let path = std::env::var("LB_CONFIG").map_err(|error| format!("LB_CONFIG: {error}"))?;
         let text = std::fs::read(&path).map_err(|error| format!("{path}: {error}"))?;
-        let mut json = serde_json::Deserializer::from_slice(&text);
-        // The error of a value out of kind says which field it is.
-        let config =
-            serde_path_to_error::deserialize(&mut json).map_err(|error| format!("{path}: {error}"))?;
-        json.end().map_err(|error| format!("{path}: {error}"))?;
-        Ok(config)
+        let value = serde_json::from_slice(&text).map_err(|error| format!("{path}: {error}"))?;
+        Config::of(&value).map_err(|faults| format!("{path}: {faults}"))
+    }
+
+    /// Reads the object that the file holds; all its faults are told at once, each with its path.
+    pub fn of(value: &Value) -> Result<Config, Faults> {
+        let met = Met::default();
+        let config = config(Fields::of(value, "", &met), &met);
+        met.or(config)
     }
 
     /// What the listed variables overrule at the start. They keep what they were then: a file that is read anew
@@ -87,3 +102,41 @@
         u64::from_str_radix(&self.seed, 16).unwrap_or_else(|_| beaconflow_settings::digest(&self.seed))
     }
 }
+
+fn config(fields: Fields<'_>, met: &Met) -> Option<Config> {
+    let (name, listen) = (fields.need("name"), fields.need("listen"));
+    let (discovery, admin_addr) = (fields.need("discovery"), fields.or_default("admin_addr"));
+    let (seed, known) = (fields.need("seed"), known(fields));
+    let sockets = fields.inner("limits", |limits| limits.or("sockets", USUAL_SOCKETS));
+    let settings = fields.needed_value("settings").and_then(|value| settings(value, met));
+    Some(Config {
+        name: name?,
+        listen: listen?,
+        discovery: discovery?,
+        admin_addr: admin_addr?,
+        seed: seed?,
+        limits: Limits { sockets: sockets? },
+        known: known?,
+        settings: settings?,
+    })
+}
+
+/// The list of servers; its one fault is told with the path in it.
+fn known(fields: Fields<'_>) -> Option<List> {
+    let Some(value) = fields.value("known") else { return Some(List::default()) };
+    let read = serde_path_to_error::deserialize(value);
+    read.map_err(|error| fields.fault(&format!("known.{}", error.path()), error.inner().to_string())).ok()
+}
+
+fn settings(value: &Value, met: &Met) -> Option<Setup> {
+    let tell = |Faults(faults)| faults.into_iter().for_each(|fault| met.add(fault.path, fault.why));
+    let setup = Setup::read("settings", value).map_err(tell).ok()?;
+    // A client names its class, so that one without a name would never be met.
+    for at in setup.nameless() {
+        met.add(format!("settings.lanes[{at}].name"), "is missing");
+    }
+    Some(setup)
+}
+
+#[cfg(test)]
+mod tests;
--- a/balancer/src/core/book.rs
+++ b/balancer/src/core/book.rs
@@ -22,7 +22,7 @@
             debug!(part = self.name, entry = ?listed, "listed");
         }
         self.witness(|_| Some(Witness::List(list.clone(), known)));
-        let entries = self.farm.learn(list, self.now_ms(), |zone| self.zones.zone(zone));
+        let entries = self.farm.learn(list, self.now_ms(), |zone| self.in_force.setup().zone(zone));
         let kind = match (known, reset) {
             (true, _) => api::ListKind::Cached,
             (false, true) => api::ListKind::Full,
@@ -87,7 +87,7 @@
         let Some((attempt, server)) = self.ledger.standing(id) else { return };
         debug!(part = self.name, transaction = id, ?note, "noted");
         if let Note::Delay(delay) = note {
-            let slow = delay >= self.slow;
+            let slow = Duration::from_nanos(delay) >= self.figures.slow();
             if !self.farm.delay_is_news(server, self.clock.now(), slow, DELAY_PERIOD) {
                 return;
             }
--- a/balancer/src/core/door.rs
+++ b/balancer/src/core/door.rs
@@ -3,16 +3,17 @@
 //! The order and who gives way are the door's; where a transaction goes and how it is answered are the module's.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use beaconflow::api::{self, Class, Nanos, RequestId};
 use beaconflow_admission::{
     Counts, Door, Entry, Limits, Miss, OverShare, Quickest, Returning, Tallies, Tally,
 };
-use beaconflow_settings::{Setup, digest};
+use beaconflow_settings::{InForce, digest};
 use tracing::{info, warn};
 
-use super::ledger::Transaction;
+use super::ledger::{Ledger, Transaction};
 use super::{Core, Due, Opening};
 
 /// The account of those who belong to none.
@@ -75,8 +76,10 @@
     /// By class.
     quickest: Vec<Quickest>,
     config: Config,
-    /// Shares by the accounts' names, from the settings of the site.
-    listed: HashMap<String, f64>,
+    /// The settings of the site: they name classes, and accounts with their shares.
+    in_force: Arc<InForce>,
+    /// For the deals of hands, also of a queue that takes this one's place.
+    seed: u64,
     /// Those that gave way and have not been answered.
     gone: Vec<Entry>,
     /// When the next one's time is up, if that moment has been set.
@@ -84,15 +87,16 @@
 }
 
 impl Gate {
-    pub(super) fn new(setup: &Setup, config: Config, classes: &[Class], seed: u64) -> Gate {
-        let urgencies: Vec<f64> = classes.iter().map(Class::urgency).collect();
+    pub(super) fn new(in_force: Arc<InForce>, config: Config, seed: u64) -> Gate {
+        let settings = in_force.setup().module();
         Gate {
-            door: Door::new(&urgencies, config.limits, seed),
+            door: Door::new(&urgencies(&settings.classes), config.limits, seed),
             tallies: Tallies::default(),
             returning: Returning::default(),
-            quickest: vec![Quickest::default(); classes.len()],
+            quickest: vec![Quickest::default(); settings.classes.len()],
             config,
-            listed: setup.shares().map(|(name, share)| (name.to_owned(), share)).collect(),
+            in_force,
+            seed,
             gone: Vec::new(),
             wakes_at: None,
         }
@@ -101,10 +105,12 @@
     /// An account's share: what the operator's file says, else its own record, else the settings of the site. One of
     /// which nobody says anything has the least of those listed.
     fn share(&self, opening: &Opening) -> f64 {
-        let of = |list: &HashMap<String, f64>| list.get(opening.account.as_deref()?).copied();
-        let least = || self.listed.values().copied().reduce(f64::min);
-        let own = of(&self.config.shares).or(opening.share).or_else(|| of(&self.listed));
-        own.or_else(least).unwrap_or(1.0)
+        let account = opening.account.as_deref();
+        let configured = || self.config.shares.get(account?).copied();
+        let listed = || self.in_force.setup().shares();
+        let named = || listed().find(|(name, _)| Some(*name) == account).map(|(_, share)| share);
+        let least = || listed().map(|(_, share)| share).reduce(f64::min);
+        configured().or(opening.share).or_else(named).or_else(least).unwrap_or(1.0)
     }
 
     /// What the line is told of a transaction.
@@ -117,7 +123,7 @@
             id,
             account: account(opening),
             share: self.share(opening),
-            class: opening.class,
+            class: self.in_force.place(opening.class),
             // A group of ten thousand sites is one name: it fills no more queues than any other.
             flow: opening.group.unwrap_or(client),
             give_up_at: give_up_at.saturating_sub(quickest),
@@ -164,9 +170,29 @@
         self.config = config;
     }
 
-    /// Shares that the settings of the site list from now on.
-    pub(super) fn list_shares(&mut self, listed: HashMap<String, f64>) {
-        self.listed = listed;
+    /// Other settings of the site are in force from now on: whoever waits goes on waiting, in the same order, in a queue
+    /// of their classes and shares.
+    pub(super) fn replace_settings(&mut self, in_force: &Arc<InForce>, ledger: &mut Ledger) {
+        let before = std::mem::replace(&mut self.in_force, Arc::clone(in_force));
+        let classes = in_force.module().classes.len();
+        self.quickest.resize_with(classes, Quickest::default);
+        if before.setup().queues_as(in_force.setup()) {
+            return;
+        }
+        ledger.rebook(|opening, entry| Entry {
+            share: self.share(opening),
+            class: in_force.place(opening.class),
+            ..entry
+        });
+        let urgencies = urgencies(&in_force.setup().module().classes);
+        let door = Door::new(&urgencies, self.door.limits(), self.seed);
+        let mut before = std::mem::replace(&mut self.door, door);
+        while let Some(waits) = before.admit() {
+            if let Some(transaction) = ledger.get(waits.id) {
+                self.wait(transaction.entry);
+            }
+        }
+        ledger.entries().for_each(|entry| self.tallies.weigh(entry.account, entry.share));
     }
 
     /// How many wait.
@@ -194,6 +220,11 @@
     }
 }
 
+/// What the queue is told of classes.
+fn urgencies(classes: &[Class]) -> Vec<f64> {
+    classes.iter().map(Class::urgency).collect()
+}
+
 /// An account by number.
 fn account(opening: &Opening) -> u64 {
     opening.account.as_deref().map_or(0, digest)
@@ -257,8 +288,6 @@
 
 #[cfg(test)]
 mod tests {
-    use std::sync::Arc;
-
     use beaconflow_overrides::Set;
 
     use super::super::Event;
--- a/balancer/src/core/events.rs
+++ b/balancer/src/core/events.rs
@@ -1,11 +1,11 @@
 //! What the core hears and what it orders, in the words of no wire.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use beaconflow::api::{Nanos, Note, Outcome, ServerId};
 use beaconflow_overrides::Judgement;
+use beaconflow_settings::InForce;
 use crossbeam_channel::Sender;
 
 use super::lifecycle::{Refused, State, Word};
@@ -74,10 +74,8 @@
     LookAtDoor(Sender<DoorLook>),
     /// The operator's file says something else of admission.
     Door(DoorConfig),
-    /// The settings of the site say that there are so many balancers, and which one this is.
-    Balancers(u32, u32),
-    /// The settings of the site list other shares, by the accounts' names.
-    Shares(HashMap<String, f64>),
+    /// Other settings of the site are in force from now on, as a whole.
+    Settings(Arc<InForce>),
     /// Overrides have changed; the answer comes once the module has been told.
     Overrides(Vec<OverrideChange>, Option<Sender<InEffect>>),
     /// The fleet's thread knows something; it is a hint.
--- a/balancer/src/core/farm.rs
+++ b/balancer/src/core/farm.rs
@@ -205,6 +205,19 @@
         Some(told)
     }
 
+    /// The zones have other numbers from now on; gives the entries that are other than the module was told.
+    pub(super) fn renumber_zones(&mut self, zone: impl Fn(&str) -> Option<u32>) -> Vec<Entry> {
+        let mut changed = Vec::new();
+        for known in &mut self.known {
+            let number = ZoneId(zone(&known.zone).unwrap_or(u32::MAX));
+            if known.told.zone != number {
+                (known.listed.zone, known.told.zone) = (number, number);
+                changed.push(known.told.clone());
+            }
+        }
+        changed
+    }
+
     /// What a server is under the overrides. Guards against a fault in them that would lose a list.
     fn standing(&self, name: &str, now: Millis) -> Standing {
         let look = AssertUnwindSafe(|| self.overrides.server(name, now));
--- a/balancer/src/core/fleet.rs
+++ b/balancer/src/core/fleet.rs
@@ -163,7 +163,8 @@
         self.witness(|core| {
             let opening = &core.ledger.get(id)?.opening;
             let account = opening.account.as_deref().map_or(0, digest);
-            let (class, group, key, returns) = (opening.class, opening.group, opening.key, opening.again);
+            let class = core.in_force.place(opening.class);
+            let (group, key, returns) = (opening.group, opening.key, opening.again);
             Some(Witness::Wants(Arrival { id, class, account, group, key, returns }))
         });
         self.wake(TURN_PATIENCE, Due::Turn(id));
--- a/balancer/src/core/handle.rs
+++ b/balancer/src/core/handle.rs
@@ -7,7 +7,7 @@
 use crossbeam_channel::Sender;
 
 use super::lifecycle::Shown;
-use super::{Carrier, DoorLook, Event, Look, Opening};
+use super::{Carrier, DoorLook, Event, Figures, Look, Opening};
 use crate::clock::Clock;
 
 /// The way to the core.
@@ -19,8 +19,7 @@
     pub(super) connections: Arc<AtomicUsize>,
     pub(super) shown: Shown,
     pub(super) clock: Clock,
-    pub(super) connect_timeout: Duration,
-    pub(super) slow: Duration,
+    pub(super) figures: Arc<Figures>,
 }
 
 /// Counts one connection for as long as it lives.
@@ -59,12 +58,12 @@
 
     /// A connection not up by then has failed.
     pub fn connect_timeout(&self) -> Duration {
-        self.connect_timeout
+        self.figures.connect_timeout()
     }
 
     /// A message that takes this long is news.
     pub fn slow(&self) -> Duration {
-        self.slow
+        self.figures.slow()
     }
 
     /// Counts a connection in, if there are not too many.
--- a/balancer/src/core/mod.rs
+++ b/balancer/src/core/mod.rs
@@ -15,6 +15,7 @@
 pub mod lifecycle;
 mod overrides;
 mod route;
+mod settings;
 mod start;
 #[cfg(test)]
 mod testing;
@@ -30,7 +31,7 @@
 use beaconflow::api::{self, Action, Nanos, RequestId, ServerId, Settings, TimerId};
 use beaconflow_admission::Miss;
 use beaconflow_overrides::{Id, Judgement, Pace};
-use beaconflow_settings::Setup;
+use beaconflow_settings::InForce;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 use tracing::debug;
 
@@ -47,6 +48,7 @@
 use ledger::Ledger;
 use lifecycle::{Lifecycle, Shown};
 pub use overrides::{InEffect, OverrideChange};
+pub use settings::Figures;
 pub use start::{Start, StartError, start};
 pub use ties::{TieNews, Ties};
 
@@ -92,7 +94,8 @@
 
 struct Core {
     name: &'static str,
-    zones: Setup,
+    /// The settings of the site as they are in force, and what the module was told of them.
+    in_force: Arc<InForce>,
     settings: Settings,
     seed: u64,
     clock: Clock,
@@ -105,8 +108,8 @@
     set: u64,
     watch: Sender<()>,
     asker: Option<Box<dyn Asker>>,
-    /// A message that takes this long is slow.
-    slow: Nanos,
+    /// The figures of the settings that other threads read.
+    figures: Arc<Figures>,
     lifecycle: Lifecycle,
     shown: Shown,
     /// Open connections, also those that have had their last word.
@@ -193,11 +196,7 @@
                 self.gate.configure(config);
                 self.give_turns();
             }
-            Event::Balancers(gateways, rank) => {
-                (self.settings.gateways, self.settings.rank) = (gateways, rank);
-                self.decide(api::Event::Gateways { gateways, rank });
-            }
-            Event::Shares(listed) => self.gate.list_shares(listed),
+            Event::Settings(in_force) => self.replace_settings(in_force),
             Event::Known(news) => self.take_known(news),
             Event::Overrides(changes, answer) => self.take_overrides(changes, answer),
             Event::Look(answer) => {
--- a/balancer/src/core/start.rs
+++ b/balancer/src/core/start.rs
@@ -4,12 +4,11 @@
 use std::io;
 use std::sync::Arc;
 use std::thread::JoinHandle;
-use std::time::Duration;
 
 use beaconflow::Balancer;
-use beaconflow::api::{Nanos, SettingsError};
+use beaconflow::api::SettingsError;
 use beaconflow_overrides::{Judgement, Set};
-use beaconflow_settings::Setup;
+use beaconflow_settings::{InForce, Setup};
 use crossbeam_channel::{Receiver, Sender, unbounded};
 
 use super::door::Gate;
@@ -17,7 +16,7 @@
 use super::fleet::Tie;
 use super::ledger::Ledger;
 use super::lifecycle::{Lifecycle, Shown};
-use super::{Asker, Core, DoorConfig, Event, Handle};
+use super::{Asker, Core, DoorConfig, Event, Figures, Handle, settings};
 use crate::clock::Clock;
 use crate::farm::List;
 
@@ -48,8 +47,6 @@
 /// Why a core does not start.
 #[derive(Debug)]
 pub enum StartError {
-    /// A word of the settings has no meaning.
-    Word(beaconflow_settings::UnknownWord),
     /// A setting is out of its range.
     Range(SettingsError),
     /// There is no thread to be had.
@@ -59,7 +56,6 @@
 impl std::fmt::Display for StartError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            StartError::Word(error) => error.fmt(f),
             StartError::Range(error) => error.fmt(f),
             StartError::Thread(error) => error.fmt(f),
         }
@@ -78,26 +74,22 @@
 }
 
 pub(super) fn build(start: Start) -> Result<(Handle, Core, Receiver<Event>), StartError> {
-    let mut settings = start.setup.module().map_err(StartError::Word)?;
-    // Guards against a module that waits for answers to questions that nobody asks.
-    settings.limits.may_probe &= start.asker.is_some();
+    let in_force = Arc::new(InForce::new(start.setup));
+    let settings = settings::of(&in_force, start.asker.is_some());
     let (events, inbox) = unbounded();
-    let aims = settings.classes.iter().map(|class| class.message_aim).filter(|aim| *aim > 0);
-    let slow = aims.min().map_or(Nanos::MAX, |aim| aim / 3);
     let handle = Handle {
         events,
         next: Arc::default(),
         connections: Arc::default(),
         shown: Shown::default(),
         clock: start.clock,
-        connect_timeout: Duration::from_nanos(settings.limits.connect_timeout),
-        slow: Duration::from_nanos(slow),
+        figures: Arc::new(Figures::of(&settings)),
     };
-    let gate = Gate::new(&start.setup, start.door, &settings.classes, start.seed);
+    let gate = Gate::new(Arc::clone(&in_force), start.door, start.seed);
     let balancer = Balancer::new(settings.clone(), start.seed).map_err(StartError::Range)?;
     let mut core = Core {
         name: start.name,
-        zones: start.setup,
+        in_force,
         settings,
         seed: start.seed,
         clock: start.clock,
@@ -109,7 +101,7 @@
         set: 0,
         watch: start.watch,
         asker: start.asker,
-        slow,
+        figures: Arc::clone(&handle.figures),
         lifecycle: Lifecycle::default(),
         shown: handle.shown.clone(),
         connections: Arc::clone(&handle.connections),
--- a/balancer/src/fleet/mod.rs
+++ b/balancer/src/fleet/mod.rs
@@ -101,10 +101,7 @@
 
     /// A farm that stands in the file is another one from now on: so is the version of the configuration.
     pub fn routes(&self, setup: &Setup, farm: &FarmSource) {
-        // A setup that was served with is sound.
-        if let Ok(settings) = setup.module() {
-            let _ = self.asks.send(Ask::Routes(version(&settings, Some(farm))));
-        }
+        let _ = self.asks.send(Ask::Routes(version(&setup.module(), Some(farm))));
     }
 
     /// Takes over of a file what can change while the program runs.
@@ -135,7 +132,7 @@
     (setup, farm): (&Setup, Option<&FarmSource>),
     clock: Clock,
 ) -> Result<(Fleet, Tie), String> {
-    let settings = setup.module().map_err(|error| error.to_string())?;
+    let settings = setup.module();
     let (keeps, restored) = keep::open(&file, wall());
     let boot = if restored.boot > 0 { restored.boot } else { wall() / 1_000 };
     let version = version(&settings, farm);
--- a/balancer/src/front/platform.rs
+++ b/balancer/src/front/platform.rs
@@ -5,9 +5,10 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use beaconflow_settings::{Setup, digest};
+use beaconflow_settings::digest;
 
 use super::{First, Followed, FrameFault, Framer, Front, NoOpening, Refusal, Seen, Word};
+use crate::config::SharedSettings;
 use crate::core::lifecycle::State;
 use crate::core::{LoadAnswer, Opening};
 use crate::net::trimmed;
@@ -42,7 +43,7 @@
 
 /// The front of the platform's protocol.
 pub struct Platform {
-    setup: Arc<Setup>,
+    settings: SharedSettings,
     open: OpenIds,
 }
 
@@ -80,8 +81,8 @@
 
 impl Platform {
     /// A front for a site.
-    pub fn new(setup: Arc<Setup>) -> Platform {
-        Platform { setup, open: OpenIds::default() }
+    pub fn new(settings: SharedSettings) -> Platform {
+        Platform { settings, open: OpenIds::default() }
     }
 
     /// Reads an opening line in place. Guards against lines that no client sends in this form: an application
@@ -98,6 +99,8 @@
         if !is_id || !named(key) || key.contains(['=', ',']) {
             return Err("no id or no key");
         }
+        // One look for the whole line: another file may come into force meanwhile.
+        let settings = self.settings.now();
         let mut names = HashSet::new();
         let (mut class, mut wait) = (None, None);
         let (mut group, mut tenant, mut load, mut held_by) = (None, None, None, None);
@@ -111,8 +114,8 @@
                 return Err("a field twice");
             }
             match name {
-                "c" => class = Some(self.setup.class(value).ok_or("no such class")?),
-                "t" if !self.setup.knows_tenant(value) => return Err("no such tenant"),
+                "c" => class = Some(settings.class(value).ok_or("no such class")?),
+                "t" if !settings.setup().knows_tenant(value) => return Err("no such tenant"),
                 "t" => tenant = Some(value),
                 "d" => {
                     let digits = value.bytes().all(|byte| byte.is_ascii_digit());
@@ -136,7 +139,7 @@
         let class = class.ok_or("no class")?;
         // A client of a class waits no longer than the settings say; one whose connection stood before the start
         // names a time without an end.
-        let patience = if held_by.is_some() { patience } else { patience.min(self.setup.patience(class)) };
+        let patience = if held_by.is_some() { patience } else { patience.min(settings.patience(class)) };
         // Last, so that nothing refused takes an id.
         let id = OpenId::take(id, &self.open).ok_or("the id of an open request")?;
         let opening = Opening {
--- a/balancer/src/operator.rs
+++ b/balancer/src/operator.rs
@@ -189,16 +189,9 @@
 }
 
 fn settings(file: &mut Section<'_>) -> Option<Setup> {
-    let setup: Setup = file.need("settings")?;
-    match setup.module() {
-        Ok(settings) => {
-            for error in settings.faults() {
-                file.fault("settings", &error.to_string());
-            }
-        }
-        Err(error) => file.fault("settings", &error.to_string()),
-    }
-    Some(setup)
+    let value: serde_json::Value = file.need("settings")?;
+    let read = Setup::read("settings", &value);
+    read.map_err(|faults| faults.0.iter().for_each(|fault| file.fault(&fault.path, &fault.why))).ok()
 }
 
 fn wire(mut section: Section<'_>) -> Wire {
--- a/balancer/src/prober.rs
+++ b/balancer/src/prober.rs
@@ -70,12 +70,16 @@
     lines: BTreeMap<ServerId, Line>,
     question: Question,
     /// An answer that is not there by then is none.
-    patience: Duration,
+    patience: Box<dyn Fn() -> Duration + Send>,
 }
 
 impl Prober {
     /// A prober, and the way to it.
-    pub fn new(question: Question, patience: Duration) -> io::Result<(Prober, Way)> {
+    pub fn new(
+        question: Question,
+        patience: impl Fn() -> Duration + Send + 'static,
+    ) -> io::Result<(Prober, Way)> {
+        let patience = Box::new(patience);
         let (ask, asks) = unbounded();
         let poller = Poller::new()?;
         let way = Way { asks: ask, bell: poller.bell() };
@@ -103,7 +107,7 @@
 
     fn until_due(&self) -> Duration {
         let asked = self.lines.values().filter_map(|line| line.asked_at);
-        let left = asked.min().map(|at| self.patience.saturating_sub(at.elapsed()));
+        let left = asked.min().map(|at| (self.patience)().saturating_sub(at.elapsed()));
         // A wait of nothing would spin where a clock stands still between two looks.
         left.unwrap_or(LOOK).clamp(Duration::from_millis(1), LOOK)
     }
@@ -169,7 +173,7 @@
     /// Ends what is overdue or idle.
     fn look(&mut self, tell: &impl Fn(ServerId, Option<Answer>)) {
         let over = |line: &Line| match line.asked_at {
-            Some(at) => at.elapsed() >= self.patience,
+            Some(at) => at.elapsed() >= (self.patience)(),
             None => line.used_at.elapsed() >= IDLE,
         };
         let ended: Vec<ServerId> =
@@ -236,7 +240,7 @@
                 }
             }
         });
-        let (prober, asker) = Prober::new(LOAD, Duration::from_millis(300)).expect("a poller");
+        let (prober, asker) = Prober::new(LOAD, || Duration::from_millis(300)).expect("a poller");
         let (say, heard) = unbounded();
         std::thread::spawn(move || prober.run(|_, answer| say.send(answer).expect("it listens")));
         let server = Arc::new(ApplicationServer::new("s0".into(), address));
@@ -261,7 +265,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("loopback");
         let address = listener.local_addr().expect("bound");
         drop(listener);
-        let (prober, asker) = Prober::new(LOAD, Duration::from_secs(60)).expect("a poller");
+        let (prober, asker) = Prober::new(LOAD, || Duration::from_secs(60)).expect("a poller");
         let (say, heard) = unbounded();
         std::thread::spawn(move || prober.run(|id, answer| say.send((id, answer)).expect("it listens")));
         asker.ask(ServerId(3), Arc::new(ApplicationServer::new("s3".into(), address)));
--- a/balancer/src/reload.rs
+++ b/balancer/src/reload.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use tracing::{error, info, warn};
 
-use crate::config::Config;
+use crate::config::{Config, SharedSettings};
 use beaconflow_admission::Limits;
 
 use crate::core::{DoorConfig, Event, Handle};
@@ -30,8 +30,14 @@
         target: Target,
         /// The descriptors.
         sockets: Sockets,
-        /// Its core, which is told of other shares.
+        /// Its core, which is told of other settings.
         core: Handle,
+        /// The settings that its front reads openings by.
+        settings: SharedSettings,
+        /// Servers are asked for their load, as the settings allowed at the start.
+        probes: bool,
+        /// A fleet is set up, which has its own part of the settings from the start.
+        fleet: bool,
     },
     /// The operator's file, and the NATS front where it sets one up.
     Operator {
@@ -78,11 +84,11 @@
     }
 
     fn platform(&mut self) -> Result<Changes, String> {
-        let Reload::Platform { file, target, sockets, core } = self else { return Ok(Changes::default()) };
+        let Reload::Platform { file, target, sockets, core, settings, probes, fleet } = self else {
+            return Ok(Changes::default());
+        };
+        // Nothing is taken over of a file with a fault anywhere in it.
         let new = Config::read()?;
-        // Guards against a file that is half taken over before its settings are found to be none.
-        let module = new.settings.module().map_err(|error| format!("settings: {error}"))?;
-        module.check().map_err(|error| format!("settings: {error}"))?;
         let mut changes = Changes::default();
         if new.discovery != file.discovery {
             changes.discovery(target, new.discovery);
@@ -91,18 +97,18 @@
         changes.fixed("name", file.name == new.name);
         changes.fixed("listen", file.listen == new.listen);
         changes.fixed("admin_addr", file.admin_addr == new.admin_addr);
-        if !file.settings.shares().eq(new.settings.shares()) {
-            let shares = new.settings.shares().map(|(name, share)| (name.into(), share));
-            core.tell(Event::Shares(shares.collect()));
-            changes.taken.push("shares".into());
+        changes.fixed("settings.discovery", file.settings.is_pushed() == new.settings.is_pushed());
+        changes.fixed("settings.policy-limits.may-probe", *probes || !new.settings.may_probe());
+        let replacing = new.settings.with_discovery_of(&file.settings);
+        if replacing != file.settings {
+            let in_force = Arc::new(settings.now().replaced_by(replacing.clone()));
+            // The core first: it knows every class by the time that an opening of it comes.
+            core.tell(Event::Settings(Arc::clone(&in_force)));
+            settings.replace(in_force);
+            changes.taken.push(format!("settings ({})", replacing.differs_from(&file.settings).join(", ")));
+            changes.fixed("settings, to the fleet", !*fleet);
+            file.settings = replacing;
         }
-        let (balancers, rank) = new.settings.place();
-        if file.settings.place() != (balancers, rank) {
-            core.tell(Event::Balancers(balancers, rank));
-            changes.taken.push(format!("{balancers} balancers"));
-        }
-        file.settings = file.settings.with_living_of(&new.settings);
-        changes.fixed("settings", file.settings == new.settings);
         // What takes a restart is told at each reload until it has had one.
         (file.discovery, file.limits) = (new.discovery, new.limits);
         Ok(changes)
--- a/balancer/src/serve.rs
+++ b/balancer/src/serve.rs
@@ -14,7 +14,7 @@
 
 use crate::admin::Admin;
 use crate::clock::Clock;
-use crate::config::Config;
+use crate::config::{Config, SharedSettings};
 use crate::core::lifecycle::Word;
 use crate::core::{self, Asker, DoorConfig, Event, Handle, Start, Tie};
 use crate::farm::{News, Target, Watcher};
@@ -181,14 +181,18 @@
             "settings.balancers is missing: this one keeps the allowances of all for itself"
         );
     }
-    let front = Arc::new(Platform::new(Arc::new(setup.clone())));
+    let settings = SharedSettings::new(setup.clone());
+    let front = Arc::new(Platform::new(settings.clone()));
     let (known, clock, overrides, door) =
         (config.known, given.clock, given.overrides.clone(), given.door.clone());
     let (fleet, tie) = given.join(&setup, None)?;
     let question = front.load_question().filter(|_| setup.may_probe());
-    let prober = question.map(|question| Prober::new(question, setup.probe_patience())).transpose();
+    let asked = settings.clone();
+    let patience = move || asked.now().setup().probe_patience();
+    let prober = question.map(|question| Prober::new(question, patience)).transpose();
     let (prober, asker) = prober.map_err(|error| format!("prober: {error}"))?.unzip();
     let asker = asker.map(|asker| Box::new(asker) as Box<dyn Asker>);
+    let probes = setup.may_probe();
     let start = Start { name: "core", setup, seed, clock, known, watch, asker, overrides, door, fleet: tie };
     let (core, thread) = start_core(start, Some(watcher))?;
     let fleet = fleet.map(|fleet| fleet.start(core.clone())).transpose()?;
@@ -209,7 +213,16 @@
     let place = folder.map(|folder| Place::of(Path::new(&folder), &config.name));
     start_front(front, (listener, place), Arc::clone(&sockets), &core)?;
     info!(part = "main", front = "platform", name = config.name, on = %config.listen, shared, "serves");
-    let reload = Reload::Platform { file: Box::new(file), target, sockets, core: core.clone() };
+    let told = core.clone();
+    let reload = Reload::Platform {
+        file: Box::new(file),
+        target,
+        sockets,
+        core: told,
+        settings,
+        probes,
+        fleet: fleet.is_some(),
+    };
     Ok((Serving { front: "platform", core, thread, fleet }, reload))
 }
 
--- a/cli/tests/platform.rs
+++ b/cli/tests/platform.rs
@@ -214,7 +214,7 @@
     for (count, why) in [
         ("\"many\"", "settings.balancers: invalid type"),
         ("-1", "settings.balancers: invalid value"),
-        ("0", "setting out of range: gateways"),
+        ("0", "settings.balancers: must be at least 1"),
         ("", "settings.balancers is missing"),
     ] {
         let said = if count.is_empty() { String::new() } else { format!("\"balancers\":{count},") };
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -12,140 +12,85 @@
 //!         "rules": {"cold-share": 0.2, "cold-ns": 20000000000, "tip-multiple": 3.0, "fall-ns": 1500000000}}"#,
 //! )?;
 //! assert_eq!(setup.class("chat"), Some(0));
-//! assert_eq!(setup.module()?.limits.max_attempts, 4);
+//! assert_eq!(setup.module().limits.max_attempts, 4);
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
 #![forbid(unsafe_code)]
 
-use std::fmt;
+mod fields;
+mod in_force;
+mod read;
+
 use std::time::Duration;
 
-use beaconflow::api::{Class, Discovery, Limits, Nanos, Prices, Repeat, Rules, Scope, Settings, ZoneId};
-use serde::Deserialize;
+use beaconflow::api::{Class, Discovery, Limits, Nanos, Prices, Repeat, Rules, Settings, ZoneId};
 
-/// The word for lists that come unasked.
-const PUSHED: &str = "automatic";
+pub use fields::{Fault, Faults, Fields, Met};
+pub use in_force::InForce;
 
 /// The object that the simulator's first message gives an instance and a balancer's configuration repeats.
-/// Keys that are not acted upon are skipped.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
-#[serde(rename_all = "kebab-case")]
+/// Keys that are not acted upon are disregarded.
+#[derive(Clone, Debug, PartialEq)]
 pub struct Setup {
-    #[serde(default)]
     balancers: Option<u32>,
-    #[serde(default)]
     rank: u32,
-    #[serde(default)]
-    zone: u32,
-    #[serde(default)]
+    zone: ZoneId,
     zones: Vec<String>,
     lanes: Vec<Lane>,
-    #[serde(default)]
     projects: Vec<Project>,
-    discovery: String,
-    #[serde(default)]
-    weight_kind: String,
-    #[serde(default)]
-    family_info: FamilyInfo,
-    policy_limits: PolicyLimits,
-    #[serde(default)]
-    report: Report,
-    rules: SetupRules,
-    #[serde(default)]
-    prices: SetupPrices,
+    discovery: Discovery,
+    live_weights: bool,
+    limits: Limits,
+    rules: Rules,
+    prices: Prices,
 }
 
-#[derive(Clone, Debug, PartialEq, Deserialize)]
-#[serde(rename_all = "kebab-case")]
+/// A class by its name.
+#[derive(Clone, Debug, PartialEq)]
 struct Lane {
-    #[serde(default)]
     name: String,
-    on_time_ns: Nanos,
-    hard_limit_ns: Nanos,
-    effect: String,
-    #[serde(default)]
-    dedup_scope: String,
-    #[serde(default)]
-    repeat_window_ns: Nanos,
-    value: f64,
+    aim: Nanos,
+    deadline: Nanos,
+    repeat: Repeat,
+    message_aim: Nanos,
+    worth: f64,
 }
 
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+/// A tenant and its part of the service.
+#[derive(Clone, Debug, PartialEq)]
 struct Project {
-    #[serde(default)]
     name: String,
-    #[serde(default)]
     share: Option<f64>,
 }
 
-#[derive(Clone, Debug, PartialEq, Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-struct FamilyInfo {
-    message_aim_ns: Vec<Option<Nanos>>,
-}
-
-#[derive(Clone, Debug, PartialEq, Deserialize, Default)]
-struct Report {
-    #[serde(default)]
-    names: Vec<String>,
-}
-
-#[derive(Clone, Debug, PartialEq, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct PolicyLimits {
-    max_attempts: u32,
-    #[serde(default)]
-    retry_after: bool,
-    #[serde(default)]
-    max_retry_after_ns: Nanos,
-    #[serde(default)]
-    may_probe: bool,
-    #[serde(default)]
-    connect_timeout_ns: Nanos,
-}
-
-#[derive(Clone, Debug, PartialEq, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct SetupRules {
-    cold_share: f64,
-    cold_ns: Nanos,
-    tip_multiple: f64,
-    fall_ns: Nanos,
-    #[serde(default)]
-    ask_within_ns: Nanos,
-}
-
-#[derive(Clone, Debug, PartialEq, Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-struct SetupPrices {
-    cross_zone: f64,
-}
-
-/// A word in the settings that has no meaning here.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct UnknownWord {
-    key: &'static str,
-    word: String,
-}
-
-impl fmt::Display for UnknownWord {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "unknown {} {:?}", self.key, self.word)
+impl Lane {
+    fn class(&self) -> Class {
+        Class {
+            aim: self.aim,
+            deadline: self.deadline,
+            repeat: self.repeat,
+            message_aim: self.message_aim,
+            worth: self.worth,
+        }
     }
 }
 
-impl std::error::Error for UnknownWord {}
-
 impl Setup {
     /// The place of the class with this name.
     pub fn class(&self, name: &str) -> Option<usize> {
         self.lanes.iter().position(|lane| lane.name == name)
     }
 
+    /// The places of classes without a name.
+    pub fn nameless(&self) -> impl Iterator<Item = usize> {
+        let nameless = |(_, lane): &(usize, &Lane)| lane.name.is_empty();
+        self.lanes.iter().enumerate().filter(nameless).map(|(at, _)| at)
+    }
+
     /// How long a client of this class waits where its wire does not say; nothing for a class there is not.
     pub fn patience(&self, class: usize) -> Duration {
-        self.lanes.get(class).map_or(Duration::ZERO, |lane| Duration::from_nanos(lane.hard_limit_ns))
+        self.lanes.get(class).map_or(Duration::ZERO, |lane| Duration::from_nanos(lane.deadline))
     }
 
     /// Whether a tenant has this name; any has where the site lists none.
@@ -163,17 +108,17 @@
 
     /// Whether servers may be asked for their load, and tell it.
     pub fn may_probe(&self) -> bool {
-        self.policy_limits.may_probe && self.report.names.iter().any(|name| name == "x0")
+        self.limits.may_probe
     }
 
     /// An answer to such a question that is not there by then is none: a connection may have to come up first.
     pub fn probe_patience(&self) -> Duration {
-        Duration::from_nanos(self.policy_limits.connect_timeout_ns.saturating_mul(2))
+        Duration::from_nanos(self.limits.connect_timeout.saturating_mul(2))
     }
 
     /// Whether an agent on the balancer's own machine holds the list.
     pub fn is_pushed(&self) -> bool {
-        self.discovery == PUSHED
+        self.discovery == Discovery::Pushed
     }
 
     /// Whether they say how many balancers there are. One that is not told takes itself for the only one.
@@ -181,15 +126,32 @@
         self.balancers.is_some()
     }
 
-    /// How many balancers there are, and which one this is.
-    pub fn place(&self) -> (u32, u32) {
-        (self.balancers.unwrap_or(1), self.rank)
+    /// The same settings, with the way in which lists come as another's. Guards against a program whose module waits
+    /// for lists in one way while its watch, which was set up at the start, follows the other.
+    pub fn with_discovery_of(self, other: &Setup) -> Setup {
+        Setup { discovery: other.discovery, ..self }
     }
 
-    /// The same settings with what may change while a program runs as another's: shares and balancers.
-    pub fn with_living_of(&self, other: &Setup) -> Setup {
-        let (projects, balancers, rank) = (other.projects.clone(), other.balancers, other.rank);
-        Setup { projects, balancers, rank, ..self.clone() }
+    /// What these settings say otherwise than others, in the words of the file.
+    pub fn differs_from(&self, other: &Setup) -> Vec<String> {
+        let count = || format!("{} balancers", self.balancers.unwrap_or(1));
+        let parts = [
+            (count(), (self.balancers, self.rank) != (other.balancers, other.rank)),
+            ("zones".into(), (&self.zones, self.zone) != (&other.zones, other.zone)),
+            ("lanes".into(), self.lanes != other.lanes),
+            ("shares".into(), self.projects != other.projects),
+            ("policy-limits".into(), self.limits != other.limits),
+            ("rules".into(), self.rules != other.rules),
+            ("prices".into(), self.prices != other.prices),
+            ("weight-kind".into(), self.live_weights != other.live_weights),
+        ];
+        parts.into_iter().filter(|(_, differs)| *differs).map(|(part, _)| part).collect()
+    }
+
+    /// Whether an admission queue is the same under other settings: the same classes in the same order, and the same
+    /// tenants with the same shares.
+    pub fn queues_as(&self, other: &Setup) -> bool {
+        self.lanes == other.lanes && self.projects == other.projects
     }
 
     /// The place of the zone with this name.
@@ -199,60 +161,17 @@
     }
 
     /// What the decision module is told of it.
-    pub fn module(&self) -> Result<Settings, UnknownWord> {
-        let aim_of = |at: usize| self.family_info.message_aim_ns.get(at).copied().flatten().unwrap_or(0);
-        let class = |(at, lane): (usize, &Lane)| {
-            Ok(Class {
-                aim: lane.on_time_ns,
-                deadline: lane.hard_limit_ns,
-                repeat: lane.repeat()?,
-                message_aim: aim_of(at),
-                worth: lane.value,
-            })
-        };
-        let limits = &self.policy_limits;
-        Ok(Settings {
+    pub fn module(&self) -> Settings {
+        Settings {
             gateways: self.balancers.unwrap_or(1),
             rank: self.rank,
-            zone: ZoneId(self.zone),
-            classes: self.lanes.iter().enumerate().map(class).collect::<Result<Vec<Class>, _>>()?,
-            live_weights: self.weight_kind == "live",
-            discovery: match self.discovery.as_str() {
-                PUSHED => Discovery::Pushed,
-                "subscribe" => Discovery::Asked,
-                other => return Err(UnknownWord { key: "discovery", word: other.into() }),
-            },
-            limits: Limits {
-                max_attempts: limits.max_attempts,
-                retry_after: limits.retry_after,
-                max_retry_after: limits.max_retry_after_ns,
-                may_probe: self.may_probe(),
-                connect_timeout: limits.connect_timeout_ns,
-            },
-            rules: Rules {
-                cold_share: self.rules.cold_share,
-                cold_time: self.rules.cold_ns,
-                tip_multiple: self.rules.tip_multiple,
-                fall_time: self.rules.fall_ns,
-                ask_within: self.rules.ask_within_ns,
-            },
-            prices: Prices { cross_zone: self.prices.cross_zone },
-        })
-    }
-}
-
-impl Lane {
-    fn repeat(&self) -> Result<Repeat, UnknownWord> {
-        let scope = match self.dedup_scope.as_str() {
-            "zone" => Scope::Zone,
-            "cell" => Scope::Cell,
-            _ => Scope::All,
-        };
-        match self.effect.as_str() {
-            "retryable" => Ok(Repeat::Safe),
-            "dedup" => Ok(Repeat::Keyed { scope, window: self.repeat_window_ns }),
-            "fragile" => Ok(Repeat::Unsafe),
-            other => Err(UnknownWord { key: "effect", word: other.into() }),
+            zone: self.zone,
+            classes: self.lanes.iter().map(Lane::class).collect(),
+            live_weights: self.live_weights,
+            discovery: self.discovery,
+            limits: self.limits.clone(),
+            rules: self.rules.clone(),
+            prices: self.prices.clone(),
         }
     }
 }
--- a/settings/tests/names.rs
+++ b/settings/tests/names.rs
@@ -45,7 +45,7 @@
         for name in names {
             let renamed = under(site, name);
             assert_eq!(renamed.module(), plain.module());
-            assert!(renamed.module().expect("sound").check().is_ok());
+            assert!(renamed.module().check().is_ok());
             assert_eq!(renamed.may_probe(), plain.may_probe());
             let shares = |setup: &Setup| setup.shares().map(|(_, share)| share).collect::<Vec<f64>>();
             assert_eq!(shares(&renamed), shares(&plain));
--- a/src/api.rs
+++ b/src/api.rs
@@ -198,6 +198,11 @@
         faults.into_iter().filter(|(_, bad)| *bad).map(|(field, _)| SettingsError { field }).collect()
     }
 
+    /// Whether other settings may take the place of these: they are in range, and every class has its place in them.
+    pub(crate) fn may_become(&self, other: &Settings) -> bool {
+        self != other && self.classes.len() <= other.classes.len() && other.check().is_ok()
+    }
+
     pub(crate) fn knows(&self, class: ClassId) -> bool {
         class.0 < self.classes.len()
     }
@@ -341,13 +346,9 @@
         /// The entries.
         entries: Vec<Entry>,
     },
-    /// There are another number of gateways from now on, and this one has another place among them.
-    Gateways {
-        /// How many; none is no number.
-        gateways: u32,
-        /// This one's place.
-        rank: u32,
-    },
+    /// Other settings hold from now on, as a whole. A class keeps its place in them for as long as a request of it may
+    /// come or be under way, so there are no fewer than before. Settings out of their range change nothing.
+    Settings(Box<Settings>),
     /// A request came in; it is owed one final answer.
     Arrived(Arrival),
     /// A connection already stands at this server.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -25,8 +25,6 @@
 const FORGET_DEADLINES: u64 = 4;
 /// Period of the housekeeping timer, in nanoseconds.
 const HOUSEKEEPING: Nanos = 1_000_000_000;
-/// Span over which this gateway's rate of placements is averaged, in seconds.
-const RATE_SECONDS: f64 = 10.0;
 /// A message that takes this part of the shortest message aim is a sign of strain.
 const STRAIN_OF_AIM: f64 = 0.33;
 /// Part of its load that a strained server is relieved of, when messages are slow and when they are late.
@@ -115,9 +113,8 @@
         }
         match event {
             Event::List { kind, entries } => self.on_list(now, kind, entries, out),
-            Event::Gateways { gateways, rank } if gateways > 0 => {
-                (self.settings.gateways, self.settings.rank) = (gateways, rank);
-                self.tally.share_with(gateways);
+            Event::Settings(settings) if self.settings.may_become(&settings) => {
+                self.replace_settings(now, *settings, out);
             }
             Event::Arrived(arrival) => self.on_arrival(now, arrival, out),
             Event::Standing { arrival, .. } if !self.settings.knows(arrival.class) => {}
@@ -134,7 +131,7 @@
                 self.books.turn_away(request, drain);
                 self.give_up(request, out);
             }
-            Event::Turn(_) | Event::TurnedAway { .. } | Event::Gateways { .. } => {}
+            Event::Turn(_) | Event::TurnedAway { .. } | Event::Settings(_) => {}
             Event::Pinned { request, pin } => self.books.pin(request, pin),
             Event::Failures { key, count } => self.books.set_failures(now, key, count),
             Event::Timer(timer) => self.on_timer(now, timer, out),
@@ -147,6 +144,19 @@
         (self.books.passes_out() as f64) < self.tally.pace.window()
     }
 
+    /// Other settings hold from now on. Whoever waits and may not be sent again by them is answered at once.
+    fn replace_settings(&mut self, now: Nanos, settings: Settings, out: &mut Vec<Action>) {
+        self.books.follow(now, (&self.settings, &settings));
+        self.tally.follow((&self.settings, &settings));
+        self.settings = settings;
+        self.count_fleet(now);
+        let spent = self.books.waiting_that(|request| self.is_spent(request));
+        spent.into_iter().for_each(|id| self.give_up(id, out));
+        if self.books.calls_off_asking() {
+            self.ask_list(ListKind::Failed, out);
+        }
+    }
+
     // ---- the server list ----
 
     fn on_list(&mut self, now: Nanos, kind: ListKind, entries: Vec<Entry>, out: &mut Vec<Action>) {
@@ -166,8 +176,7 @@
         }
         self.count_fleet(now);
         // Guards against gateways that all begin their turns with the same servers: each begins at its own.
-        let known: Vec<ServerId> = self.books.servers.keys().copied().collect();
-        for id in known {
+        for id in self.books.servers.keys().copied().collect::<Vec<ServerId>>() {
             let lead = self.rng.random_range(0.0..1.0) / self.weight_here(&self.books.servers[&id]);
             self.books.enter_turns(id, lead);
         }
@@ -192,13 +201,7 @@
         self.books.warm_up(now, |entry| warmth(&self.settings.rules, entry, now));
         self.tally.weights = self.books.ready().map(|server| self.weight_here(server)).sum();
         self.tally.ready = self.books.ready().count();
-        // What could not be sent while no server was cold is not made up for.
-        if self.tally.able.cold == 0.0 {
-            self.tally.asked_cold_at = now;
-        }
-        self.tally.able = self.books.able();
-        let new_per_s = self.tally.new_per_s(now, RATE_SECONDS);
-        self.tally.borne = self.tally.able.borne(&self.settings.rules, self.books.on_warm(), new_per_s);
+        self.tally.count_able(now, &self.books, &self.settings.rules);
     }
 
     // ---- requests ----
@@ -212,7 +215,7 @@
             return out.push(Action::Fail(id));
         }
         if !arrival.returns {
-            self.tally.new.add(now, 1.0, RATE_SECONDS);
+            self.tally.came_anew(now);
         }
         self.books.open(arrival, None);
         self.place(now, id, out);
@@ -244,8 +247,7 @@
             }
             return self.ask(now, id, server, out);
         }
-        let pace = 1.0 / self.weight_here(&self.books.servers[&server]);
-        self.books.take_turn(server, pace);
+        self.books.take_turn(server, 1.0 / self.weight_here(&self.books.servers[&server]));
         self.books.send(now, id, server);
         out.push(Action::Attempt { request: id, server, timeout });
     }
@@ -275,7 +277,7 @@
         let (class, limits) = (&self.settings.classes[request.arrival.class.0], &self.settings.limits);
         let (left, made) = (request.arrival.give_up_at - now, request.attempts);
         let usual = class.aim.max(limits.connect_timeout.saturating_mul(2));
-        let short = self.tally.pace.patience(now, usual) << made.min(MAX_DOUBLINGS);
+        let short = self.tally.pace.patience(now, usual).saturating_mul(1 << made.min(MAX_DOUBLINGS));
         if made + 1 >= limits.max_attempts || class.repeat != Repeat::Safe { left } else { left.min(short) }
     }
 
@@ -291,10 +293,7 @@
     /// A connection that stands clears its client's n and wins back some of its server's standing.
     fn succeeded(&mut self, id: RequestId, server: ServerId) {
         self.books.clear_failures(self.books.requests.get(&id).and_then(|request| request.arrival.key));
-        if let Some(server) = self.books.servers.get_mut(&server) {
-            server.strikes /= 2;
-            server.shun_until = 0;
-        }
+        self.books.win_back(server);
     }
 
     fn on_note(&mut self, now: Nanos, id: RequestId, attempt: u32, note: Note, out: &mut Vec<Action>) {
@@ -346,8 +345,7 @@
     fn back_off(&mut self, now: Nanos, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.books.requests.get(&id) else { return };
         let class = &self.settings.classes[request.arrival.class.0];
-        let unsafe_now = request.may_have_run.is_some() && class.repeat == Repeat::Unsafe;
-        if request.attempts >= self.settings.limits.max_attempts || unsafe_now {
+        if self.is_spent(request) {
             return self.give_up(id, out);
         }
         let (n, give_up_at) = (self.books.failures_of(request), request.arrival.give_up_at);
@@ -359,6 +357,12 @@
         self.wake_for(id, wait, out);
     }
 
+    /// Whether a request has had its attempts, or may have run and must not run twice.
+    fn is_spent(&self, request: &Request) -> bool {
+        let no_repeat = self.settings.classes[request.arrival.class.0].repeat == Repeat::Unsafe;
+        request.attempts >= self.settings.limits.max_attempts || request.may_have_run.is_some() && no_repeat
+    }
+
     /// The final answer without service: a refusal if nothing may have run, else a failure.
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.books.requests.get(&id) else { return };
@@ -581,8 +585,7 @@
         // Guards against hundreds that see their two or three connections on one server as far over the mean:
         // the less of all a gateway sees, the more of that is chance.
         let few = EVEN_FEW * (1.0 - self.tally.fleet.part(1.0)) * self.books.one();
-        let seen = |server: &Server| (server.entry.server, self.books.load(server), server.weight_to_come());
-        let loads: Vec<(ServerId, f64, f64)> = self.books.ready().map(seen).collect();
+        let loads = self.books.loads_of_ready();
         for &(id, load, weight) in &loads {
             if load <= limit * weight + few {
                 continue;
@@ -606,10 +609,8 @@
     /// an operator took out. Guards against clients cut off; and against hundreds of gateways that each move
     /// their few at once, and overrun the others while those that replace the leaving are cold.
     fn empty_leaving(&mut self, out: &mut Vec<Action>) {
-        let leaves = |server: &&Server| !server.ready && server.entry.state != State::Out;
-        let leaving = self.books.servers.values().filter(leaves).map(|server| server.entry.server);
         let draining = OFF_DRAINING * self.tally.able.now / self.tally.able.full.max(f64::MIN_POSITIVE);
-        for id in leaving.collect::<Vec<ServerId>>() {
+        for id in self.books.leaving() {
             let is_gone = self.books.servers[&id].entry.state == State::Gone;
             let odds = if is_gone { OFF_GONE } else { draining };
             for (_, moved) in self.books.heaviest_at(id) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -11,6 +11,8 @@
 const MOST_ORDERS: usize = 1024;
 /// Requests over which shares of groups are taken, before what was counted is halved.
 const MOST_SEEN: f64 = 1000.0;
+/// Span over which this gateway's rate of placements is averaged, in seconds.
+const RATE_SECONDS: f64 = 10.0;
 /// Span over which broken connections are counted, in seconds.
 const RESET_SECONDS: f64 = 5.0;
 /// Housekeeping periods between two log lines at least.
@@ -167,15 +169,31 @@
         Tally { fleet: Fleet::of(gateways), pace: Pace::of(gateways), ..Tally::default() }
     }
 
-    /// There are so many gateways from now on.
-    pub(crate) fn share_with(&mut self, gateways: u32) {
-        self.fleet = Fleet::of(gateways);
-        self.pace.share_with(gateways);
+    /// Other settings hold from now on. What was learnt of the pace holds within the bounds of as many gateways as there
+    /// are now; it is forgotten where it was learnt by other aims or limits.
+    pub(crate) fn follow(&mut self, (before, after): (&Settings, &Settings)) {
+        self.fleet = Fleet::of(after.gateways);
+        if (&before.classes, &before.limits) == (&after.classes, &after.limits) {
+            self.pace.share_with(after.gateways);
+        } else {
+            self.pace = Pace::of(after.gateways);
+        }
+    }
+
+    /// A client came here for the first time.
+    pub(crate) fn came_anew(&mut self, now: Nanos) {
+        self.new.add(now, 1.0, RATE_SECONDS);
     }
 
-    /// The rate at which clients have come here for the first time, by the second, over `span` seconds.
-    pub(crate) fn new_per_s(&self, now: Nanos, span: f64) -> f64 {
-        self.new.at(now, span) / span
+    /// Counts what the ready servers can do, and what the fleet bears of this gateway.
+    pub(crate) fn count_able(&mut self, now: Nanos, books: &Books, rules: &Rules) {
+        // What could not be sent while no server was cold is not made up for.
+        if self.able.cold == 0.0 {
+            self.asked_cold_at = now;
+        }
+        self.able = books.able();
+        let new_per_s = self.new.at(now, RATE_SECONDS) / RATE_SECONDS;
+        self.borne = self.able.borne(rules, books.on_warm(), new_per_s);
     }
 }
 
@@ -223,11 +241,69 @@
         Books { sizes, class_loads, held, ceiling: f64::INFINITY, ..Books::default() }
     }
 
+    /// Other settings hold from now on: there is room for all of their classes, no server is passed over for longer than
+    /// they say, and what was held against servers by other aims is forgotten.
+    pub(crate) fn follow(&mut self, now: Nanos, (before, after): (&Settings, &Settings)) {
+        let classes = after.classes.len();
+        self.class_loads.resize_with(classes, Mean::default);
+        self.held.unknown.resize(classes, 0);
+        if before.live_weights != after.live_weights {
+            self.sizes = after.live_weights.then(|| self.greatest_weights());
+        }
+        let longest = now.saturating_add(after.longest_deadline());
+        let same_aims = before.classes == after.classes;
+        for server in self.servers.values_mut() {
+            server.held.unknown.resize(classes, 0);
+            server.shun_until = server.shun_until.min(longest);
+            if !same_aims {
+                server.forget_strain();
+            }
+        }
+        if !same_aims {
+            (self.ceiling, self.tipped_at) = (f64::INFINITY, 0.0);
+        }
+    }
+
+    /// The greatest weight of each machine type now.
+    fn greatest_weights(&self) -> BTreeMap<u64, f64> {
+        let mut sizes = BTreeMap::new();
+        for server in self.servers.values() {
+            let size = sizes.entry(server.entry.kind).or_insert(0.0_f64);
+            *size = size.max(server.weight());
+        }
+        sizes
+    }
+
+    /// The requests that wait for an attempt and are such.
+    pub(crate) fn waiting_that(&self, is_such: impl Fn(&Request) -> bool) -> Vec<RequestId> {
+        let waits = |request: &Request| request.phase == Phase::Waiting && is_such(request);
+        self.requests.iter().filter(|(_, request)| waits(request)).map(|(id, _)| *id).collect()
+    }
+
+    /// Drops the timer for the next call for the list, if one is set; says whether one was.
+    pub(crate) fn calls_off_asking(&mut self) -> bool {
+        let before = self.timers.len();
+        self.timers.retain(|_, due| !matches!(due, Due::AskList));
+        self.timers.len() < before
+    }
+
     /// The servers that take new work.
     pub(crate) fn ready(&self) -> impl Iterator<Item = &Server> {
         self.servers.values().filter(|server| server.ready)
     }
 
+    /// The ready servers, with what they hold and the weights by which that is judged.
+    pub(crate) fn loads_of_ready(&self) -> Vec<(ServerId, f64, f64)> {
+        let seen = |server: &Server| (server.entry.server, self.load(server), server.weight_to_come());
+        self.ready().map(seen).collect()
+    }
+
+    /// The servers that drain or are gone; those that an operator took out are not among them.
+    pub(crate) fn leaving(&self) -> Vec<ServerId> {
+        let leaves = |server: &&Server| !server.ready && server.entry.state != State::Out;
+        self.servers.values().filter(leaves).map(|server| server.entry.server).collect()
+    }
+
     /// The ready servers, the one whose turn is due first.
     pub(crate) fn in_turn(&self) -> impl Iterator<Item = ServerId> {
         self.turns.iter().map(|(_, id)| *id)
@@ -255,6 +331,14 @@
         }
     }
 
+    /// A set-up that stands wins back half of a server's standing, and ends that it is passed over.
+    pub(crate) fn win_back(&mut self, id: ServerId) {
+        if let Some(server) = self.servers.get_mut(&id) {
+            server.strikes /= 2;
+            server.shun_until = 0;
+        }
+    }
+
     /// A server has taken its turn; the next one is `pace` later. Turns that it missed are not made up for.
     pub(crate) fn take_turn(&mut self, id: ServerId, pace: f64) {
         let Some(server) = self.servers.get_mut(&id) else { return };
@@ -734,6 +818,12 @@
         }
     }
 
+    /// Forgets all signs of strain: they were judged by aims that hold no more.
+    fn forget_strain(&mut self) {
+        (self.ceiling, self.tipped_at) = (f64::INFINITY, 0.0);
+        (self.strained_at, self.late_at, self.held_until) = (None, None, 0);
+    }
+
     /// The listed weight; servers listed without one are equal.
     pub(crate) fn weight(&self) -> f64 {
         let weight = self.entry.weight;
