--- /dev/null
+++ b/settings/tests/in_force.rs
@@ -0,0 +1,118 @@
+//! Settings that are replaced while requests of the earlier ones are under way.
+
+use beaconflow::api::{Repeat, Scope};
+use beaconflow_settings::{InForce, Setup};
+use serde_json::{Value, json};
+
+/// A class: its name, effect, deadline in seconds and worth.
+type Lane<'a> = (&'a str, &'a str, u64, f64);
+
+fn site(lanes: &[Lane<'_>]) -> Setup {
+    let lane = |(name, effect, deadline, worth): &Lane<'_>| {
+        let mut words = effect.split(' ');
+        let window: u64 = words.clone().nth(2).map_or(0, |window| window.parse().expect("a number"));
+        json!({
+            "name": name, "on-time-ns": 100_000_000, "hard-limit-ns": deadline * 1_000_000_000, "value": worth,
+            "effect": words.next(), "dedup-scope": words.next().unwrap_or_default(), "repeat-window-ns": window,
+        })
+    };
+    let lanes: Vec<Value> = lanes.iter().map(lane).collect();
+    let site = json!({
+        "lanes": lanes, "discovery": "subscribe", "policy-limits": {"max-attempts": 3},
+        "family-info": {"message-aim-ns": [70_000_000, 80_000_000, 90_000_000]},
+        "rules": {"cold-share": 0.3, "cold-ns": 9, "tip-multiple": 3.0, "fall-ns": 2},
+    });
+    Setup::read("", &site).expect("sound")
+}
+
+fn repeat_of(settings: &InForce, class: usize) -> Repeat {
+    settings.module().classes[class].repeat
+}
+
+#[test]
+fn the_first_settings_number_classes_as_the_file_does() {
+    let setup = site(&[("a", "retryable", 2, 1.0), ("b", "fragile", 3, 2.0)]);
+    let first = InForce::new(setup.clone());
+    assert_eq!(first.module(), setup.module());
+    assert_eq!((first.class("a"), first.class("b"), first.class("c")), (Some(0), Some(1), None));
+}
+
+#[test]
+fn another_order_turns_no_class_into_another() {
+    let (a, b, c) = (("a", "retryable", 2, 1.0), ("b", "fragile", 3, 2.0), ("c", "dedup zone 5", 4, 3.0));
+    // Without aims by place: those would make other classes of them.
+    let plain = |lanes: &[Lane<'_>]| InForce::new(site(lanes));
+    let first = plain(&[a, b, c]);
+    let second = first.replaced_by(site(&[c, b, a]));
+    for (name, effect) in [("a", Repeat::Safe), ("b", Repeat::Unsafe)] {
+        let number = second.class(name).expect("it is there");
+        assert_eq!(repeat_of(&second, number), effect, "{name}");
+        // An opening that was read by the first table is the same class under the second one.
+        assert_eq!(repeat_of(&second, first.class(name).expect("it was there")), effect, "{name}");
+    }
+    // The place in the queue is the name's, whichever number is asked for.
+    for name in ["a", "b", "c"] {
+        let place = second.setup().class(name).expect("it is there");
+        assert_eq!(second.place(second.class(name).expect("it is there")), place);
+        assert_eq!(second.place(first.class(name).expect("it was there")), place);
+    }
+}
+
+#[test]
+fn equal_settings_keep_every_number_and_add_none() {
+    let lanes = [("a", "retryable", 2, 1.0), ("b", "fragile", 3, 2.0)];
+    let first = InForce::new(site(&lanes));
+    let second = first.replaced_by(site(&lanes));
+    assert_eq!(second.module(), first.module());
+    // There and back again: the numbers of the first, and no more with each turn.
+    let away = second.replaced_by(site(&[("a", "fragile", 2, 1.0)]));
+    let back = away.replaced_by(site(&lanes));
+    assert_eq!((back.class("a"), back.class("b")), (first.class("a"), first.class("b")));
+    assert_eq!(back.module().classes[..2], first.module().classes[..]);
+    let count = back.module().classes.len();
+    let turns = (0..100).fold(back, |settings, _| {
+        settings.replaced_by(site(&[("a", "fragile", 2, 1.0)])).replaced_by(site(&lanes))
+    });
+    assert_eq!(turns.module().classes.len(), count);
+}
+
+#[test]
+fn a_request_of_earlier_settings_may_be_repeated_only_as_both_allow() {
+    let keyed = |scope, window| Repeat::Keyed { scope, window };
+    for (before, after, both) in [
+        ("retryable", "fragile", Repeat::Unsafe),
+        ("fragile", "retryable", Repeat::Unsafe),
+        ("retryable", "dedup cell 5", keyed(Scope::Cell, 5)),
+        ("dedup cell 5", "retryable", keyed(Scope::Cell, 5)),
+        ("dedup zone 5", "fragile", Repeat::Unsafe),
+        ("dedup zone 9", "dedup zone 4", keyed(Scope::Zone, 4)),
+        ("dedup  4", "dedup zone 9", keyed(Scope::Zone, 4)),
+        ("dedup cell 9", "dedup  4", keyed(Scope::Cell, 4)),
+        ("dedup cell 9", "dedup zone 9", Repeat::Unsafe),
+    ] {
+        let first = InForce::new(site(&[("a", before, 2, 1.0)]));
+        let second = first.replaced_by(site(&[("a", after, 2, 1.0)]));
+        assert_eq!(repeat_of(&second, first.class("a").expect("it was there")), both, "{before} to {after}");
+        // Both words stand side by side in the settings of the second.
+        let number = second.class("a").expect("it is there");
+        assert_eq!(
+            Some(repeat_of(&second, number)),
+            second.setup().module().classes.first().map(|c| c.repeat)
+        );
+    }
+}
+
+#[test]
+fn a_class_that_is_gone_takes_nothing_new_and_has_no_say_in_what_all_are_asked() {
+    let first = InForce::new(site(&[("a", "retryable", 60, 100.0), ("b", "fragile", 3, 2.0)]));
+    let second = first.replaced_by(site(&[("b", "fragile", 3, 2.0)]));
+    assert_eq!(second.class("a"), None);
+    let (old, module) = (first.class("a").expect("it was there"), second.module());
+    assert_eq!(module.classes[old].repeat, Repeat::Safe, "its own promise");
+    assert_eq!(module.classes[old].aim, 100_000_000);
+    // The longest deadline, the dearest class and the shortest message aim are those of the present settings.
+    assert!(module.classes[old].deadline <= 3_000_000_000);
+    assert!(module.classes[old].worth <= 2.0);
+    assert_eq!(module.classes[old].message_aim, 0);
+    assert_eq!(second.patience(old).as_secs(), 60, "and its clients wait as long as they did");
+}
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -21,6 +21,9 @@
 /// The first of them where each cold server has a bound of its own besides, which chance need not be left room for.
 const OF_STANDING_EACH: f64 = 4.2;
 
+/// Shortest time, in nanoseconds, after which what is not used lapses: by rules that say none, a fleet that is cold as a
+/// whole would take nobody.
+const LEAST_FALL: Nanos = 100_000_000;
 /// One cold server may take so many times its part of what all of them are sent: who comes is a matter of chance.
 const OF_ONE: f64 = 3.0;
 
@@ -83,7 +86,7 @@
     /// Odds that a client goes to a cold server, `waited` after one was last held against them. What is not used
     /// lapses after the time in which a server tips over.
     pub(crate) fn of_all(&self, rules: &Rules, borne: f64, waited: Nanos) -> f64 {
-        odds(rules, self.cold, borne, waited.min(rules.fall_time))
+        odds(rules, self.cold, borne, waited.min(rules.fall_time.max(LEAST_FALL)))
     }
 
     /// The same for one server. Where each has a bound of its own, its `own` part counts too: what it can do of all that,
