A program that leaves is gone before it may be killed, also with short deadlines

Cause: the spans of a drain were fitted to a longest deadline of 3 s and more, while the program may be killed after the longest deadline of the settings and 0.7 s. With 0.6 s the last clients were still there when the kill was due. Seen: the story with deadlines of 0.5 and 0.6 s fails with the old spans (its last client hears MOVE after the kill).

The spans of a program that leaves shrink with the longest deadline in force; at 3 s and above, and on standby, they are what they were.

--- a/balancer/src/config/tests.rs
+++ b/balancer/src/config/tests.rs
@@ -29,7 +29,7 @@
 
 #[test]
 fn further_keys_are_disregarded_and_what_may_be_absent_may_be() {
-    let config = Config::of(&sound()).ok().expect("sound");
+    let Ok(config) = Config::of(&sound()) else { panic!("sound") };
     assert_eq!(config.limits.sockets, 64);
     let mut bare = sound();
     let fields = bare.as_object_mut().expect("an object");
--- a/balancer/src/core/drain.rs
+++ b/balancer/src/core/drain.rs
@@ -1,17 +1,21 @@
 //! Drains: on standby and on leaving all clients are moved, spread over a while, and what is on its way is served or
 //! finally answered. On standby the program stays and may be told to take clients again, half way too.
 
+mod spans;
+
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use beaconflow::api::Nanos;
 use tracing::info;
 
+use spans::Spans;
+
 use super::ledger::Place;
 use super::lifecycle::{Refused, State, Word};
 use super::{Core, Due, Order};
 
-/// The moves of a drain are spread over this. Guards against a herd of clients that all come again at once and
+/// The moves of a drain are spread over this, and less where deadlines are short ([`Spans`]). Guards against a herd of clients that all come again at once and
 /// overrun the application servers' set-ups: over 1.8 s they had first attempts wait for 1.5 s.
 const MOVES: Duration = Duration::from_millis(2_700);
 /// A front goes on sending newcomers for a part of a second; they are served for so long, and moved with the others.
@@ -65,7 +69,7 @@
         let count = u32::try_from(standing.len().max(1)).unwrap_or(u32::MAX);
         for (at, id) in (0..).zip(standing) {
             self.offer(id);
-            self.wake(MOVES * at / count, Due::Drained(self.drains, id));
+            self.wake(self.spans().moves * at / count, Due::Drained(self.drains, id));
         }
         self.wake(self.drain_period(), Due::Drain(self.drains));
     }
@@ -75,11 +79,21 @@
         if self.lifecycle.state() == State::Leaving { TICK } else { ANSWERS }
     }
 
+    /// How long what lasts, as the settings in force have it.
+    fn spans(&self) -> Spans {
+        if self.lifecycle.state() != State::Leaving {
+            return Spans::UNBOUNDED;
+        }
+        let longest = self.settings.classes.iter().map(|class| class.deadline).max();
+        Spans::within(Duration::from_nanos(longest.unwrap_or(0)))
+    }
+
     /// A connection that came to stand in the midst of a drain is moved with the last of the others.
     pub(super) fn drain_stands(&mut self, id: u64) {
         if let Some(drain) = self.drain {
             self.offer(id);
-            self.wake(MOVES.saturating_sub(self.drained_for(drain)), Due::Drained(drain.number, id));
+            let left = self.spans().moves.saturating_sub(self.drained_for(drain));
+            self.wake(left, Due::Drained(drain.number, id));
         }
     }
 
@@ -92,7 +106,7 @@
 
     /// Whether a newcomer is still served.
     pub(super) fn takes_newcomers(&self) -> bool {
-        self.drain.is_none_or(|drain| self.drained_for(drain) < NEWCOMERS)
+        self.drain.is_none_or(|drain| self.drained_for(drain) < self.spans().newcomers)
     }
 
     /// It is a client's turn to be moved, unless the drain has been taken back.
@@ -107,7 +121,7 @@
         if self.lifecycle.state() == State::Leaving {
             self.wake(TICK, Due::Drain(number));
         }
-        if self.drained_for(drain) < ANSWERS {
+        if self.drained_for(drain) < self.spans().answers {
             return;
         }
         for (id, place) in self.ledger.places() {
@@ -132,7 +146,7 @@
                 && self.shown.openings() == 0
                 && self.connections.load(Ordering::Relaxed) == 0
         };
-        left_for >= LEAVE_MOST || left_for >= LEAVE_LEAST && is_empty()
+        left_for >= self.spans().most || left_for >= self.spans().least && is_empty()
     }
 }
 
--- a/cli/tests/settings.rs
+++ b/cli/tests/settings.rs
@@ -295,3 +295,22 @@
     resets(attempt(&site, 0));
     chat.hears("ERR");
 }
+
+#[test]
+fn at_a_planned_restart_everybody_is_moved_before_the_program_may_be_killed_also_with_short_deadlines() {
+    let settings = with_lanes(&[("chat", "retryable", 600), ("once", "fragile", 500)]);
+    let mut site = Site::start_on(&settings.to_string(), "short", 1, &[]);
+    let mut standing: Vec<(Peer, Peer)> = (0..10).map(|_| site.stand()).collect();
+    let mut waiting = site.open("once", "");
+    let _silent = attempt(&site, 0);
+    let told = Instant::now();
+    site.program.signal("TERM");
+    for (client, _) in &mut standing {
+        client.hears("MOVE");
+        client.ended();
+    }
+    waiting.hears("ERR");
+    // It may be killed after the longest deadline and 0.7 s.
+    assert!(told.elapsed() < Duration::from_millis(1_300), "{:?}", told.elapsed());
+    assert!(site.program.left(), "it leaves by itself");
+}
