--- a/cli/tests/commands.rs
+++ b/cli/tests/commands.rs
@@ -222,7 +222,7 @@
     for (field, from, to) in [
         ("fleet.name: 1 to 64", "\"gate-a\"", "\"gate a\""),
         ("fleet.name: is missing", "name = \"gate-a\"", ""),
-        ("fleet.site", "\"dub-north\"", "\"\""),
+        ("fleet.site", "\"north\"", "\"\""),
         ("fleet.listen: is not a loopback", "\"127.0.0.1:7101\"    ", "\"10.0.0.1:7101\"    "),
         ("fleet.listen: needs a port", "\"127.0.0.1:7101\"    ", "\"127.0.0.1:0\"    "),
         ("fleet.listen", "\"127.0.0.1:7101\"    ", "7101"),
@@ -246,7 +246,7 @@
         ("fleet.site_size: is less", "size = 3", "size = 3\nsite_size = 2"),
         ("fleet.site_size: from 1", "size = 3", "size = 3\nsite_size = 4\nother_sites = [\"b\"]"),
         ("fleet.other_sites[1]: stands there twice", "size = 3", "size = 5\nother_sites = [\"b\", \"b\"]"),
-        ("fleet.other_sites[0]: is this site", "size = 3", "size = 4\nother_sites = [\"dub-north\"]"),
+        ("fleet.other_sites[0]: is this site", "size = 3", "size = 4\nother_sites = [\"north\"]"),
         ("fleet.other_sites[0]: 1 to", "size = 3", "size = 4\nother_sites = [\"a b\"]"),
         ("fleet.borne", "size = 3", "size = 3\nborne = 0"),
         ("fleet.borne", "size = 3", "size = 3\nborne = \"many\""),
