After failed calls the list is asked for within 5 s, whatever the settings give

Cause: the delay after failed calls was bounded by the longest deadline and by half of `ask-within-ns` alone. With no `ask-within-ns` (or a long one) and deadlines of minutes the module waited as long: 599 s were seen in the new test. A change counts as told 6 s after discovery could be reached. Where `ask-within-ns` is 10 s or less nothing changes.

--- a/adapter/tests/renamed.rs
+++ b/adapter/tests/renamed.rs
@@ -77,7 +77,7 @@
         let (server, elapsed) = ((self.name)(SERVERS[0]), 7 * MS);
         // Some are turned away again and again.
         let by_turns = [1, 3, 6, 5, 4][((step + send_no) % 5) as usize];
-        let status = if step % 6 == 0 { 3 } else { by_turns };
+        let status = if step.is_multiple_of(6) { 3 } else { by_turns };
         if status == 1 {
             return json!({"what": "ACK_FIRST", "req": step, "send-no": send_no, "server": server, "elapsed-ns": elapsed});
         }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -13,6 +13,9 @@
 /// Longest wait before what fell silent is asked anew, in nanoseconds. What it misses counts as told 6 s after it fell
 /// silent; it was found out after 3.5 s.
 pub(crate) const SILENT_WAIT: Nanos = 1_500_000_000;
+/// Longest wait before the list is asked for again after failed calls, in nanoseconds, however long settings give for
+/// asking and to their requests: a change counts as told 6 s after discovery could be reached, and a call takes its time.
+pub(crate) const LONGEST_ASK: Nanos = 5_000_000_000;
 /// Parts of what tips cold servers that they are sent: by what stands on warm ones, and by the new clients that the
 /// farm bears. Both count less than a farm can do, which usually bears half of it and warms sooner than the rules say:
 /// on days of the large fleet what tipped servers over was six times the first, by what usually stood, and more.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -7,7 +7,7 @@
 use rand_pcg::Pcg32;
 
 use crate::api::*;
-use crate::fleet::{AGENT_WAIT, SILENT_WAIT, warmth};
+use crate::fleet::{AGENT_WAIT, LONGEST_ASK, SILENT_WAIT, warmth};
 use crate::span::part;
 use crate::state::{Books, Due, Faults, Mean, Request, Server, Tally};
 
@@ -186,7 +186,8 @@
     /// herd whose calls fail and come again together, and against one so late that old word counts as told.
     fn ask_list(&mut self, after: ListKind, out: &mut Vec<Action>) {
         let asked = self.settings.rules.ask_within.checked_sub(1).map_or(Nanos::MAX, |within| within / 2);
-        let usual = if self.settings.discovery == Discovery::Pushed { AGENT_WAIT } else { asked };
+        let usual =
+            if self.settings.discovery == Discovery::Pushed { AGENT_WAIT } else { asked.min(LONGEST_ASK) };
         let within = if after == ListKind::Silent { usual.min(SILENT_WAIT) } else { usual };
         let (n, cap) = (self.tally.list_failures, self.settings.longest_deadline().min(within));
         let wait = match (n, self.tally.fleet.herd(within)) {
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -368,3 +368,27 @@
     let placed = attempts(&gateway.stream(0..100, 100 * MS)).len();
     assert!(placed > 5, "{placed} of 100");
 }
+
+#[test]
+fn after_failed_calls_the_list_is_asked_for_within_the_six_seconds_that_the_platform_gives_under_any_settings()
+ {
+    let mut long = Settings { discovery: Discovery::Asked, ..settings() };
+    long.classes.iter_mut().for_each(|class| class.deadline = 600 * SECOND);
+    let mut longest = 0;
+    for (ask_within, gateways) in [(0, 1), (600 * SECOND, 1), (Nanos::MAX, 3), (0, 300), (600 * SECOND, 300)]
+    {
+        let mut settings = Settings { gateways, ..long.clone() };
+        settings.rules.ask_within = ask_within;
+        for seed in 0..20 {
+            let mut balancer = Balancer::new(settings.clone(), seed).expect("in range");
+            let mut actions = Vec::new();
+            for kind in [ListKind::Cached].into_iter().chain([ListKind::Failed; 8]) {
+                let entries = if kind == ListKind::Cached { vec![entry(0)] } else { Vec::new() };
+                balancer.handle(SECOND, Event::List { kind, entries }, &mut actions);
+            }
+            let Some(Action::Wake { after, .. }) = actions.last() else { panic!("{actions:?}") };
+            longest = longest.max(*after);
+        }
+    }
+    assert!(longest <= 5 * SECOND, "{longest}");
+}
