--- a/balancer/src/fleet/handle.rs
+++ b/balancer/src/fleet/handle.rs
@@ -61,10 +61,7 @@
 
     /// A farm that stands in the file is another one from now on: so is the version of the configuration.
     pub fn routes(&self, setup: &Setup, farm: &FarmSource) {
-        // A setup that was served with is sound.
-        if let Ok(settings) = setup.module() {
-            let _ = self.commands.send(Command::Routes(version(&settings, Some(farm))));
-        }
+        let _ = self.commands.send(Command::Routes(version(&setup.module(), Some(farm))));
     }
 
     /// Takes over of a file what can change while the program runs.
--- a/balancer/src/fleet/setup.rs
+++ b/balancer/src/fleet/setup.rs
@@ -55,7 +55,7 @@
     (setup, farm): (&Setup, Option<&FarmSource>),
     clock: Clock,
 ) -> Result<(Fleet, Tie), String> {
-    let settings = setup.module().map_err(|error| error.to_string())?;
+    let settings = setup.module();
     let (memory, restored) = keep::open(&file, wall());
     let boot = if restored.boot > 0 { restored.boot } else { wall() / 1_000 };
     let version = version(&settings, farm);
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -13,6 +13,9 @@
 /// Longest wait before what fell silent is asked anew, in nanoseconds. What it misses counts as told 6 s after it fell
 /// silent; it was found out after 3.5 s.
 pub(crate) const SILENT_WAIT: Nanos = 1_500_000_000;
+/// Longest wait before the list is asked for again after failed calls, in nanoseconds, however long settings give for
+/// asking and to their requests: a change counts as told 6 s after discovery could be reached, and a call takes its time.
+pub(crate) const LONGEST_ASK: Nanos = 5_000_000_000;
 /// Parts of what tips cold servers that they are sent: by what stands on warm ones, and by the new clients that the
 /// farm bears. Both count less than a farm can do, which usually bears half of it and warms sooner than the rules say:
 /// on days of the large fleet what tipped servers over was six times the first, by what usually stood, and more.
@@ -21,6 +24,9 @@
 /// The first of them where each cold server has a bound of its own besides, which chance need not be left room for.
 const OF_STANDING_EACH: f64 = 4.2;
 
+/// Shortest time, in nanoseconds, after which what is not used lapses: by rules that say none, a fleet that is cold as a
+/// whole would take nobody.
+const LEAST_FALL: Nanos = 100_000_000;
 /// One cold server may take so many times its part of what all of them are sent: who comes is a matter of chance.
 const OF_ONE: f64 = 3.0;
 
@@ -83,7 +89,7 @@
     /// Odds that a client goes to a cold server, `waited` after one was last held against them. What is not used
     /// lapses after the time in which a server tips over.
     pub(crate) fn of_all(&self, rules: &Rules, borne: f64, waited: Nanos) -> f64 {
-        odds(rules, self.cold, borne, waited.min(rules.fall_time))
+        odds(rules, self.cold, borne, waited.min(rules.fall_time.max(LEAST_FALL)))
     }
 
     /// The same for one server. Where each has a bound of its own, its `own` part counts too: what it can do of all that,
