An attempt begins in time or not at all: window, deadline and client count at the first byte

Cause: the module checked the window for repeats, the client's time and the drain when it ordered an attempt. The connect that followed could take up to the connect timeout, and the order itself could wait for its thread. The connect watched neither the client nor the core's last word: who left, or was given up on, was held until it came up or failed.

Ruled out: the drain mark and the client are looked at just before the first byte already; the first attempt's window runs from the order, which is never later than its first byte.

Change: `Action::Attempt` says how soon an attempt has to begin; the core turns it and the timeout into moments (`PassTimes`) when the module decides, so that a waiting order gains no time. The head is withheld after that moment. The connect does not block: a client that leaves ends it at once. `may_begin_until` is the one place for deadline, window, effect and attempt limit. What is withheld goes elsewhere at once, without a delay and without a mark on its client; a keyed request whose window is over is failed at once.

Tests: four new ones in tests/repeats.rs; tests/invariants.rs checks the window at the latest first byte and plays withheld attempts. Seen failing with the old lines put back: three of the four, and the invariants (the fourth, on the window's end, was not tried without). One test of core/fleet.rs used a withheld attempt as its failed one, which has no delay any more; it now uses one that was turned away, with the same bounds.

--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -99,7 +99,7 @@
 ) {
     use std::io::Write;
     let done = match action {
-        Action::Attempt { request, server: to, timeout } => {
+        Action::Attempt { request, server: to, timeout, .. } => {
             head(out, "CALL_OUT", instance);
             write!(out, ",\"req\":{},\"server\":", request.0)
                 .and_then(|()| text(out, server(*to)))
--- a/balancer/src/core/admit.rs
+++ b/balancer/src/core/admit.rs
@@ -1,14 +1,13 @@
 //! Admit: a transaction is booked and goes on to the module, or back to the application server that held it.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use beaconflow::api;
 use tracing::debug;
 
 use crate::clock::nanos;
 
-use super::{Carrier, Core, Due, HELD_PATIENCE, HELD_RETRY, Opening, Order};
+use super::{Carrier, Core, Due, HELD_PATIENCE, HELD_RETRY, Opening, Order, PassTimes};
 
 impl Core {
     /// Takes a transaction in. One that stood before the start goes to its application server without a
@@ -69,10 +68,11 @@
             return self.answer(id, Order::Failed);
         }
         // Guards against one pass without an answer that would take up all of a patience without an end.
-        let within = Duration::from_nanos(transaction.give_up_at - now).min(HELD_PATIENCE);
+        let until = self.clock.instant(transaction.give_up_at.min(now.saturating_add(nanos(HELD_PATIENCE))));
+        let times = PassTimes { begin_by: until, until };
         let name = transaction.opening.held_by.as_deref().unwrap_or_default();
         match self.farm.by_name(name) {
-            Some((server, to)) => drop(self.ledger.pass(id, server, Order::Pass { to, within }, now)),
+            Some((server, to)) => drop(self.ledger.pass(id, server, Order::Pass { to, times }, now)),
             None => self.wake(HELD_RETRY, Due::Held(id)),
         }
     }
--- a/balancer/src/core/events.rs
+++ b/balancer/src/core/events.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use beaconflow::api::{Nanos, Note, Outcome, ServerId};
 use beaconflow_overrides::Judgement;
@@ -123,6 +123,15 @@
     Trouble,
 }
 
+/// The moments that bound a pass. They are set by the core, so that an order that waits gains no time by it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PassTimes {
+    /// Its first byte is not written at or after this moment.
+    pub begin_by: Instant,
+    /// It is given up then.
+    pub until: Instant,
+}
+
 /// What a transaction is to do.
 #[derive(Debug)]
 pub enum Order {
@@ -130,8 +139,8 @@
     Pass {
         /// Where to.
         to: Arc<ApplicationServer>,
-        /// How long it may take in all.
-        within: Duration,
+        /// When it has to have begun and to have its answer.
+        times: PassTimes,
     },
     /// Final answer: unavailable; a new try does no harm, after the span if one is given.
     Unavailable(Option<Duration>),
--- a/balancer/src/core/fleet.rs
+++ b/balancer/src/core/fleet.rs
@@ -402,7 +402,7 @@
     fn delay(core: &mut Core, id: u64) -> Nanos {
         testing::opens(core, &Arc::new(Orders::default()), id, "acme", LONG);
         let now = core.clock.now();
-        core.take(Event::Ended(id, Outcome::NotSent, Duration::from_millis(1)));
+        core.take(Event::Ended(id, Outcome::Full, Duration::from_millis(1)));
         let last = core.timers.iter().map(|Reverse((at, set, due))| (*set, *at, *due)).max();
         let (_, at, due) = last.expect("a timer");
         assert!(matches!(due, Due::Module(_)), "{due:?}");
--- a/balancer/src/core/mod.rs
+++ b/balancer/src/core/mod.rs
@@ -37,7 +37,7 @@
 use door::Gate;
 pub use door::{AccountLook, Config as DoorConfig, DoorLook};
 use drain::Drain;
-pub use events::{Asker, Carrier, Event, LoadAnswer, Look, Opening, Order, Told};
+pub use events::{Asker, Carrier, Event, LoadAnswer, Look, Opening, Order, PassTimes, Told};
 use farm::Farm;
 pub use farm::{ApplicationServer, Mark, ServerLook, SitePart};
 use fleet::Bond;
--- a/balancer/src/core/route.rs
+++ b/balancer/src/core/route.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use beaconflow::Balancer;
-use beaconflow::api::{self, Action};
+use beaconflow::api::{self, Action, Nanos};
 use beaconflow_admission::Miss;
 use tracing::{debug, error, info};
 
 use super::ledger::{Place, Transaction};
-use super::{Core, Due, Order, ties};
+use super::{Core, Due, Order, PassTimes, ties};
 
 impl Core {
     /// Hands an event to the module, carries out what it decides, and gives turns to those who wait.
@@ -30,18 +30,21 @@
             self.start_anew();
         }
         for action in actions.drain(..) {
-            self.carry_out(action);
+            self.carry_out(now, action);
         }
         self.actions = actions;
     }
 
-    fn carry_out(&mut self, action: Action) {
+    /// Carries out what the module decided at that moment.
+    fn carry_out(&mut self, decided_at: Nanos, action: Action) {
         match action {
-            Action::Attempt { request, server, timeout } => match self.farm.get(server) {
+            Action::Attempt { request, server, begin_within, timeout } => match self.farm.get(server) {
                 Some(to) => {
                     let within = Duration::from_nanos(timeout);
                     debug!(part = self.name, transaction = request.0, server = %to.name, ?within, "pass");
-                    let (now, order) = (self.clock.now(), Order::Pass { to, within });
+                    let moment = |span| self.clock.instant(decided_at.saturating_add(span));
+                    let times = PassTimes { begin_by: moment(begin_within), until: moment(timeout) };
+                    let (now, order) = (self.clock.now(), Order::Pass { to, times });
                     self.witness_pass(server, now);
                     if let Some((entry, waited)) = self.ledger.pass(request.0, server, order, now) {
                         self.gate.admitted(now, &entry, waited);
--- a/balancer/src/pass.rs
+++ b/balancer/src/pass.rs
@@ -9,18 +9,18 @@
 
 use beaconflow::api::Outcome;
 
-use crate::core::ApplicationServer;
+use crate::core::{ApplicationServer, PassTimes};
 use crate::net::{self, Intake, PollFlags, ReadError};
 
 /// Most bytes read ahead from a server that is being asked.
 const MOST_AHEAD: usize = 8 * 1024;
 /// A pass looks so often whether its client has been given up on.
-const GIVEN_UP_LOOK: Duration = Duration::from_millis(50);
+pub const GIVEN_UP_LOOK: Duration = Duration::from_millis(50);
 
 /// How far a proxy pass had come when it ended. What became of its transaction follows from this alone.
 #[derive(Debug)]
 pub enum PassError {
-    /// Nothing was sent: the application server is leaving.
+    /// Nothing was sent: the application server is leaving, it is too late to begin, or the core has given it up.
     Withheld,
     /// The client left, or did not wait for its answer.
     ClientLeft(ReadError),
@@ -159,7 +159,7 @@
     server: TcpStream,
     to: &'a ApplicationServer,
     client: &'a mut dyn Client,
-    until: Instant,
+    times: PassTimes,
     intake: Intake,
 }
 
@@ -169,9 +169,9 @@
         server: TcpStream,
         to: &'a ApplicationServer,
         client: &'a mut dyn Client,
-        until: Instant,
+        times: PassTimes,
     ) -> Asking<'a> {
-        Asking { server, to, client, until, intake: Intake::new(MOST_AHEAD) }
+        Asking { server, to, client, times, intake: Intake::new(MOST_AHEAD) }
     }
 
     /// The server's connection, and what it has sent beyond its answer.
@@ -181,12 +181,16 @@
 
     /// Until when this pass may take.
     pub fn until(&self) -> Instant {
-        self.until
+        self.times.until
     }
 
-    /// Writes the head, if the client still waits and the server still takes new work just before the first byte.
+    /// Writes the head, if the client still waits, the server still takes new work and there is still time to begin
+    /// just before the first byte. The connect may have taken long.
     pub fn head(&mut self, parts: &[&[u8]]) -> Result<(), PassError> {
         self.client.look().map_err(PassError::ClientLeft)?;
+        if self.client.is_given_up() || Instant::now() >= self.times.begin_by {
+            return Err(PassError::Withheld);
+        }
         let begun = {
             let _leave = self.to.leave_to_write().ok_or(PassError::Withheld)?;
             net::write_gathered(&self.server, parts)
@@ -208,7 +212,7 @@
         match begun {
             Err((written, error)) if net::is_wait(&error) => {
                 let whole = parts.concat();
-                net::write_until(&self.server, &[&whole[written..]], self.until)
+                net::write_until(&self.server, &[&whole[written..]], self.times.until)
                     .map_err(|(more, error)| (written + more, error))
             }
             done => done,
@@ -222,7 +226,7 @@
             if let Some(line) = self.intake.whole_line() {
                 return Ok(line);
             }
-            let left = self.until.saturating_duration_since(Instant::now());
+            let left = self.times.until.saturating_duration_since(Instant::now());
             let sides = [(&self.server, PollFlags::IN), (self.client.stream(), PollFlags::IN)];
             let [server_ready, client_ready] = net::ready(sides, left.min(GIVEN_UP_LOOK));
             if self.client.is_given_up() {
--- a/balancer/src/stages/send.rs
+++ b/balancer/src/stages/send.rs
@@ -1,12 +1,16 @@
 //! Send: one proxy pass to one application server.
 
-use std::net::TcpStream;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
-use crate::core::ApplicationServer;
+use rustix::io::Errno;
+use socket2::{Domain, Socket, Type};
+
+use crate::core::{ApplicationServer, PassTimes};
 use crate::front::Front;
-use crate::net;
-use crate::pass::{Asking, PassError};
+use crate::net::{self, PollFlags};
+use crate::pass::{Asking, Client, GIVEN_UP_LOOK, PassError};
 use crate::stages::relay::Link;
 
 /// A pass that stands.
@@ -26,16 +30,53 @@
     link: &mut Link,
     greeting: &F::Greeting,
     to: &ApplicationServer,
-    until: Instant,
+    times: PassTimes,
     connect_timeout: Duration,
 ) -> Result<Passed, PassError> {
-    let within = until.saturating_duration_since(Instant::now());
-    // A wait of nothing is no wait to the system, but an error.
-    let patience = connect_timeout.min(within).max(Duration::from_millis(1));
-    let server = TcpStream::connect_timeout(&to.address, patience).map_err(PassError::NotConnected)?;
+    let server = connect(to.address, link, times, connect_timeout)?;
     net::prepare(&server).map_err(PassError::NotConnected)?;
-    let mut asking = Asking::new(server, to, link, until);
+    let mut asking = Asking::new(server, to, link, times);
     let answer = front.pass(&mut asking, greeting)?;
     let (server, ahead) = asking.into_parts();
     Ok(Passed { server, answer, ahead })
 }
+
+/// Connects, for as long as the pass may still begin. The wait ends at once with a client that leaves, and soon
+/// with one that the core has given up on: neither has to wait for a server that is late to come up.
+pub fn connect(
+    to: SocketAddr,
+    client: &mut dyn Client,
+    times: PassTimes,
+    connect_timeout: Duration,
+) -> Result<TcpStream, PassError> {
+    let given_up_at = times.begin_by.min(Instant::now() + connect_timeout);
+    let server = begin_to_connect(to).map_err(PassError::NotConnected)?;
+    loop {
+        let left = given_up_at.saturating_duration_since(Instant::now());
+        let sides = [(&server, PollFlags::OUT), (client.stream(), PollFlags::IN)];
+        let [is_decided, client_ready] = net::ready(sides, left.min(GIVEN_UP_LOOK));
+        if client_ready {
+            client.look().map_err(PassError::ClientLeft)?;
+        }
+        if client.is_given_up() || Instant::now() >= times.begin_by {
+            return Err(PassError::Withheld);
+        }
+        if is_decided {
+            let failure = server.take_error().unwrap_or_else(Some);
+            return failure.map_or(Ok(server), |error| Err(PassError::NotConnected(error)));
+        }
+        if left.is_zero() {
+            return Err(PassError::NotConnected(io::ErrorKind::TimedOut.into()));
+        }
+    }
+}
+
+/// A connection that is on its way, or up. It does not block.
+fn begin_to_connect(to: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(to), Type::STREAM, None)?;
+    socket.set_nonblocking(true)?;
+    match socket.connect(&to.into()) {
+        Err(error) if error.raw_os_error() != Some(Errno::INPROGRESS.raw_os_error()) => Err(error),
+        _ => Ok(socket.into()),
+    }
+}
--- a/balancer/src/stages/transaction.rs
+++ b/balancer/src/stages/transaction.rs
@@ -16,7 +16,7 @@
 use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
 use tracing::{error, warn};
 
-use crate::core::{ApplicationServer, Carrier, Counted, Event, Handle, Opening, Order};
+use crate::core::{ApplicationServer, Carrier, Counted, Event, Handle, Opening, Order, PassTimes};
 use crate::front::{First, Front, Word};
 use crate::handover::{Given, Giver, Place};
 use crate::net::{self, ReadError};
@@ -198,10 +198,10 @@
                 let id = self.shared.core.open(opening, Arc::clone(&self.desk) as Arc<dyn Carrier>);
                 self.enter(id, greeting, (Phase::Waiting(link), None), counted);
             }
-            Brought::Ordered(id, Order::Pass { to, within }) => {
+            Brought::Ordered(id, Order::Pass { to, times }) => {
                 let lent = self.open.get_mut(&id).and_then(|transaction| transaction.lend(&self.poller, &to));
                 let Some((link, greeting)) = lent else { return };
-                if let Err(failed) = pass(&self.shared, &self.desk, (id, link, greeting), to, within) {
+                if let Err(failed) = pass(&self.shared, &self.desk, (id, link, greeting), to, times) {
                     let (link, error) = *failed;
                     let error = PassError::NotConnected(error);
                     self.with(id, |transaction, shared| transaction.passed(link, Some(Err(error)), shared));
@@ -324,14 +324,13 @@
     desk: &Arc<Desk<F>>,
     (id, link, greeting): (u64, Link, Arc<F::Greeting>),
     to: Arc<ApplicationServer>,
-    within: Duration,
+    times: PassTimes,
 ) -> Result<(), Box<(Link, io::Error)>> {
     let (front, desk, connect) = (Arc::clone(&shared.front), Arc::clone(desk), shared.core.connect_timeout());
     let (give, take) = bounded::<Link>(1);
-    let until = Instant::now() + within;
     let run = move || {
         let Ok(mut link) = take.recv() else { return };
-        let made = || send::pass(&*front, &mut link, &greeting, &to, until, connect);
+        let made = || send::pass(&*front, &mut link, &greeting, &to, times, connect);
         let passed = catch_unwind(AssertUnwindSafe(made)).ok();
         drop(greeting);
         desk.bring(Brought::Passed(id, link, passed));
--- a/lab/src/engine/balancers.rs
+++ b/lab/src/engine/balancers.rs
@@ -24,7 +24,7 @@
         let start = self.nodes[balancer as usize].start;
         for action in actions.drain(..) {
             match action {
-                Action::Attempt { request, server, timeout } => {
+                Action::Attempt { request, server, timeout, .. } => {
                     self.attempts(request.0, server.0 % self.scenario.gateways, timeout);
                 }
                 Action::Refuse { request, retry_after } => {
--- a/lab/src/policies.rs
+++ b/lab/src/policies.rs
@@ -136,7 +136,7 @@
         let one = self.open.get_mut(&request.0).expect("it is open");
         one.attempts += 1;
         one.at = Some(server);
-        out.push(Action::Attempt { request, server, timeout });
+        out.push(Action::Attempt { request, server, begin_within: timeout, timeout });
     }
 
     fn lets_go(&mut self, server: ServerId) {
--- a/src/api.rs
+++ b/src/api.rs
@@ -444,6 +444,8 @@
         request: RequestId,
         /// Where to.
         server: ServerId,
+        /// Its first byte has to be sent within this, however long the connect takes; else it is not sent.
+        begin_within: Nanos,
         /// How long to allow for it.
         timeout: Nanos,
     },
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -11,9 +11,8 @@
 use crate::span::part;
 use crate::state::{Books, Due, Faults, Mean, Request, Server, Tally};
 
-/// First backoff step of a placement, as a part of its class's aim.
+/// First backoff step of a placement, as a part of its class's aim; the longest, as one of its deadline.
 const BASE_OF_AIM: f64 = 0.25;
-/// Longest backoff of a placement, as a part of its class's deadline.
 const CAP_OF_DEADLINE: f64 = 0.25;
 /// Shortest backoff, as a part of the base: the source waits 0.1 s at least on a base of 2 s.
 const FLOOR_OF_BASE: f64 = 0.05;
@@ -221,21 +220,18 @@
     /// Sends a request to the next server in turn, or backs off if there is none.
     fn place(&mut self, now: Nanos, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.books.requests.get(&id) else { return };
-        if now >= request.arrival.give_up_at {
-            return self.give_up(id, out);
-        }
-        let (timeout, asked) = (self.attempt_timeout(now, request), request.asked);
+        let until = self.may_begin_until(request);
         let can_wait = |pin: Pin| !pin.strict || pin.server.is_some_and(|id| self.books.is_ready(id));
-        if !request.arrival.pin.is_none_or(can_wait) {
+        if now >= until || !request.arrival.pin.is_none_or(can_wait) {
             return self.give_up(id, out);
         }
+        let (timeout, asked) = (self.attempt_timeout(now, request), request.asked);
         if self.books.load_of_all() + self.wanted(request) > self.books.ceiling {
             return self.back_off(now, id, out);
         }
         if !self.has_turns() {
-            let left = request.arrival.give_up_at - now;
             out.push(Action::Wait(id));
-            return self.wake_for(id, left, out);
+            return self.wake_for(id, until - now, out);
         }
         let Some(server) = self.next_in_turn(now, id) else { return self.back_off(now, id, out) };
         if self.wants_probe(now, &self.books.servers[&server]) {
@@ -247,7 +243,7 @@
         let pace = 1.0 / self.weight_here(&self.books.servers[&server]);
         self.books.take_turn(server, pace);
         self.books.send(now, id, server);
-        out.push(Action::Attempt { request: id, server, timeout });
+        out.push(Action::Attempt { request: id, server, begin_within: timeout.min(until - now), timeout });
     }
 
     /// A server that tells its load when probed is asked before it is sent anything, unless it told just now.
@@ -279,6 +275,17 @@
         if made + 1 >= limits.max_attempts || class.repeat != Repeat::Safe { left } else { left.min(short) }
     }
 
+    /// Until when one more attempt may begin: its client has to wait, and a repeat to do no harm.
+    fn may_begin_until(&self, request: &Request) -> Nanos {
+        let give_up_at = request.arrival.give_up_at;
+        match (request.may_have_run, self.settings.classes[request.arrival.class.0].repeat) {
+            _ if request.attempts >= self.settings.limits.max_attempts => 0,
+            (None, _) | (_, Repeat::Safe) => give_up_at,
+            (_, Repeat::Unsafe) => 0,
+            (Some((_, at)), Repeat::Keyed { window, .. }) => give_up_at.min(at.saturating_add(window)),
+        }
+    }
+
     fn on_established(&mut self, now: Nanos, id: RequestId, attempt: u32) {
         let Some((server, false)) = self.books.current(id, attempt) else { return };
         self.books.stands(id, server);
@@ -334,10 +341,12 @@
             return;
         }
         self.books.failed(id, server, !outcome.never_ran());
-        self.books.raise_failures(now, key);
-        if outcome != Outcome::NotSent && outcome != Outcome::Cancelled {
-            self.strike(now, server);
+        match outcome {
+            Outcome::NotSent => return self.place(now, id, out),
+            Outcome::Cancelled => {}
+            _ => self.strike(now, server),
         }
+        self.books.raise_failures(now, key);
         self.tally.pace.failed(now, server, outcome, took);
         self.back_off(now, id, out);
     }
@@ -345,15 +354,10 @@
     /// Waits a jittered delay before the next attempt; gives up at once if none is left, safe or in time.
     fn back_off(&mut self, now: Nanos, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.books.requests.get(&id) else { return };
-        let class = &self.settings.classes[request.arrival.class.0];
-        let unsafe_now = request.may_have_run.is_some() && class.repeat == Repeat::Unsafe;
-        if request.attempts >= self.settings.limits.max_attempts || unsafe_now {
-            return self.give_up(id, out);
-        }
-        let (n, give_up_at) = (self.books.failures_of(request), request.arrival.give_up_at);
+        let (class, until) = (&self.settings.classes[request.arrival.class.0], self.may_begin_until(request));
         let (base, cap) = (part(class.aim, BASE_OF_AIM), part(class.deadline, CAP_OF_DEADLINE));
-        let wait = self.jittered(n, base, cap);
-        if now.saturating_add(wait) >= give_up_at {
+        let wait = self.jittered(self.books.failures_of(request), base, cap);
+        if now.saturating_add(wait) >= until {
             return self.give_up(id, out);
         }
         self.wake_for(id, wait, out);
@@ -366,9 +370,8 @@
             out.push(Action::Fail(id));
         } else {
             let n = self.books.failures_of(request);
-            let aim = self.settings.classes[request.arrival.class.0].aim;
             let (told, longest) = (self.settings.limits.retry_after, self.settings.limits.max_retry_after);
-            let base = request.drain.unwrap_or(aim);
+            let base = request.drain.unwrap_or(self.settings.classes[request.arrival.class.0].aim);
             let retry_after = told.then(|| self.jittered(n, base.min(longest), longest));
             self.tally.refused += 1;
             out.push(Action::Refuse { request: id, retry_after });
@@ -421,12 +424,11 @@
         let one = self.books.class_loads.iter().map(Mean::value).fold(1.0, f64::max);
         let limit =
             SKIP_OVER_MEAN * (self.books.load_of_all() + one) / self.tally.weights.max(f64::MIN_POSITIVE);
-        let more = self.wanted(request);
-        let mut any_well = false;
+        let (more, mut any_well) = (self.wanted(request), false);
         let mut best: Option<(Faults, ServerId)> = None;
         for id in of {
             let server = &self.books.servers[&id];
-            let (allowed, ill) = (self.allowed(now, request, server), now < server.shun_until);
+            let (allowed, ill) = (self.allowed(request, server), now < server.shun_until);
             any_well |= allowed && !ill;
             if !allowed || !self.has_room(now, server, more) {
                 continue;
@@ -486,15 +488,12 @@
     }
 
     /// What the rules demand: a ready server; where a keyed request may have run, one that drops its repeats.
-    fn allowed(&self, now: Nanos, request: &Request, server: &Server) -> bool {
-        let Some((first, sent_at)) = request.may_have_run else { return server.ready };
+    fn allowed(&self, request: &Request, server: &Server) -> bool {
+        let Some((first, _)) = request.may_have_run else { return server.ready };
         let first = &self.books.servers[&first].entry;
         server.ready
             && match self.settings.classes[request.arrival.class.0].repeat {
-                Repeat::Safe => true,
-                Repeat::Unsafe => false,
-                Repeat::Keyed { window, .. } if now >= sent_at.saturating_add(window) => false,
-                Repeat::Keyed { scope: Scope::All, .. } => true,
+                Repeat::Safe | Repeat::Unsafe | Repeat::Keyed { scope: Scope::All, .. } => true,
                 Repeat::Keyed { scope: Scope::Zone, .. } => server.entry.zone == first.zone,
                 Repeat::Keyed { scope: Scope::Cell, .. } => server.entry.cell == first.cell,
             }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -215,6 +215,15 @@
     actions.iter().filter_map(to).collect()
 }
 
+/// How long the attempts among the actions may take to begin.
+pub fn begin_within(actions: &[Action]) -> Vec<Nanos> {
+    let span = |action: &Action| match action {
+        Action::Attempt { begin_within, .. } => Some(*begin_within),
+        _ => None,
+    };
+    actions.iter().filter_map(span).collect()
+}
+
 /// Whether a request got this final answer.
 pub fn refused(actions: &[Action], request: u64) -> bool {
     actions.iter().any(|action| matches!(action, Action::Refuse { request: id, .. } if id.0 == request))
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -89,7 +89,7 @@
 
     fn follow(&mut self, at: usize, actions: Vec<Action>) {
         for action in actions {
-            if let Action::Attempt { request, server, timeout } = action {
+            if let Action::Attempt { request, server, timeout, .. } = action {
                 self.sent.push((self.step, server));
                 let attempt = self.tries.entry(request.0).or_default();
                 *attempt += 1;
--- a/tests/invariants.rs
+++ b/tests/invariants.rs
@@ -68,12 +68,15 @@
 
     fn check(&mut self, action: &Action) {
         match action {
-            Action::Attempt { request, server, timeout } => {
+            Action::Attempt { request, server, begin_within, timeout } => {
                 let seen = self.seen.get_mut(&request.0).expect("a request that came");
                 assert!(!seen.over && !seen.stood && seen.out.is_none(), "{action:?}");
                 assert_eq!(self.states[server], State::Ready, "{action:?}");
                 assert!(seen.attempts < 3 && self.now + timeout <= seen.give_up_at);
+                assert!(*begin_within > 0 && begin_within <= timeout, "{action:?}");
                 if let Some((first, sent_at)) = seen.may_have_run {
+                    let in_window = seen.class == SAFE || self.now + begin_within <= sent_at + SECOND;
+                    assert!(in_window, "its first byte could be sent after the window: {action:?}");
                     let (first, to) = (entry(first.0), entry(server.0));
                     let inside = self.now < sent_at + SECOND;
                     let allowed = match seen.class {
@@ -181,6 +184,7 @@
                     Outcome::ConnectFailed,
                     Outcome::Reset,
                     Outcome::Cancelled,
+                    Outcome::NotSent,
                 ];
                 self.end(id, outcomes[span as usize % outcomes.len()]);
             }
--- a/tests/repeats.rs
+++ b/tests/repeats.rs
@@ -78,6 +78,60 @@
     assert!(failed(&answers, 1));
 }
 
+#[test]
+fn a_keyed_repeat_has_to_begin_inside_the_window_however_long_its_connect_takes() {
+    let window = SECOND;
+    for class in [KEYED_ZONE, KEYED_CELL, KEYED_ALL] {
+        let mut gateway = Gateway::with_servers(settings(), 6);
+        let sent_at = gateway.now;
+        let first = gateway.arrive(1, class);
+        assert_eq!(
+            begin_within(&first),
+            [2 * SECOND],
+            "what never ran may begin as long as its client waits"
+        );
+        gateway.pass(700 * MS);
+        gateway.end(1, 0, Outcome::Reset);
+        let mut again = Vec::new();
+        while again.is_empty() && gateway.now < sent_at + window {
+            again = begin_within(&gateway.pass(MS));
+        }
+        // None is made where the delay drawn would outlast the window. It was made within the last millisecond.
+        for span in again {
+            assert!(gateway.now - MS + span <= sent_at + window, "{span} after {}", gateway.now - sent_at);
+        }
+    }
+}
+
+#[test]
+fn a_keyed_request_whose_window_is_over_is_failed_at_once() {
+    let mut gateway = Gateway::with_servers(settings(), 6);
+    gateway.arrive(1, KEYED_ALL);
+    gateway.pass(1100 * MS);
+    assert!(failed(&gateway.end(1, 0, Outcome::Reset), 1));
+}
+
+#[test]
+fn what_was_withheld_from_a_leaving_server_goes_elsewhere_at_once_and_costs_its_client_no_delay() {
+    for class in [SAFE, UNSAFE, KEYED_CELL] {
+        let mut gateway = Gateway::with_servers(settings(), 3);
+        let first = attempts(&gateway.arrive(1, class))[0];
+        gateway.list(ListKind::Changes, vec![Entry { state: State::Draining, ..entry(first.0) }]);
+        let again = attempts(&gateway.end(1, 0, Outcome::NotSent));
+        assert_eq!(again.len(), 1, "class {class}");
+        assert_ne!(again[0], first);
+    }
+}
+
+#[test]
+fn withheld_attempts_count_against_the_limit_and_end_in_a_refusal() {
+    let mut gateway = Gateway::with_servers(settings(), 3);
+    gateway.arrive(1, UNSAFE);
+    assert_eq!(attempts(&gateway.end(1, 0, Outcome::NotSent)).len(), 1);
+    assert_eq!(attempts(&gateway.end(1, 1, Outcome::NotSent)).len(), 1);
+    assert!(refused(&gateway.end(1, 2, Outcome::NotSent), 1));
+}
+
 #[test]
 fn a_connection_that_stood_is_never_repeated() {
     let mut gateway = Gateway::with_servers(settings(), 3);
