A last word that crosses a server's answer moves the client, and what never ran is refused

Cause: when a drain ends (or the module panics) the core gives each request on its way its last word and forgets it. If the server's answer was already on its way to the core, the client stood by then: the order was dropped, nobody knew the connection any more, and it was cut without a move when the program left. Those who waited, never sent on, were failed although a refusal is true and harmless. Ruled out: a repeat after the last word (the pass's result is dropped with its connection).

Change: a standing connection takes any last word as the order to move. The books keep whether an ended pass may have run; the last word follows from it, and `Order::GiveUp` leaves it to the pass that is out, which alone knows whether it has written its head.

Tests: core/route/tests.rs plays each waiting state at a panic and at the end of a drain; stages/transaction/tests.rs crosses orders with an answer and with a connect that is late, by the peer's script.

--- a/balancer/src/core/drain.rs
+++ b/balancer/src/core/drain.rs
@@ -107,12 +107,16 @@
         if self.lifecycle.state() == State::Leaving {
             self.wake(TICK, Due::Drain(number));
         }
-        if self.drained_for(drain) < ANSWERS {
-            return;
+        if self.drained_for(drain) >= ANSWERS {
+            self.answer_all_that_is_on_its_way();
         }
+    }
+
+    /// Gives the final answer to whoever waits or is being sent.
+    pub(super) fn answer_all_that_is_on_its_way(&mut self) {
         for (id, place) in self.ledger.places() {
             if !matches!(place, Place::Standing(_)) {
-                self.answer(id, Order::Failed);
+                self.give_up_on(id);
             }
         }
     }
--- a/balancer/src/core/events.rs
+++ b/balancer/src/core/events.rs
@@ -146,6 +146,9 @@
     Unavailable(Option<Duration>),
     /// Final answer: failed.
     Failed,
+    /// Final answer to a client whose only pass that may have run is the one that is out: unavailable if it proves
+    /// not to have run, else failed.
+    GiveUp,
     /// Move the client.
     Move,
     /// Give the standing connection to the process that takes this one's place, if there is one.
--- a/balancer/src/core/ledger.rs
+++ b/balancer/src/core/ledger.rs
@@ -36,6 +36,8 @@
     place: Place,
     /// Passes so far, as the module counts them.
     passes: u32,
+    /// A pass that has ended may have run.
+    may_have_run: bool,
     /// Its client has been told to move, or is about to be.
     moving: bool,
     /// Where an operator wants it, or where it is led, as the module was last told.
@@ -128,6 +130,7 @@
             orders,
             place: Place::Waiting,
             passes: 0,
+            may_have_run: false,
             moving: false,
             pin: pin.or(tie),
             tie,
@@ -240,6 +243,7 @@
             Place::Standing(server) => (server, true, false),
         };
         transaction.place = Place::Waiting;
+        transaction.may_have_run |= !outcome.never_ran();
         self.counts.ends[outcome as usize] += 1;
         Some(Ended { attempt: transaction.passes - 1, server, stood, held })
     }
@@ -298,6 +302,16 @@
         self.passes == 0 && self.opening.held_by.is_none()
     }
 
+    /// The final answer to one that is given up on without a decision of the module's. What was never sent on is
+    /// not failed: its client may try again without harm.
+    pub(super) fn last_word(&self) -> Order {
+        match self.place {
+            Place::Waiting if !self.may_have_run => Order::Unavailable(None),
+            Place::Out(_) if !self.may_have_run => Order::GiveUp,
+            Place::Waiting | Place::Out(_) | Place::Held(_) | Place::Standing(_) => Order::Failed,
+        }
+    }
+
     fn arrival(&self, id: u64) -> Arrival {
         Arrival {
             request: RequestId(id),
--- a/balancer/src/core/route.rs
+++ b/balancer/src/core/route.rs
@@ -88,6 +88,13 @@
         }
     }
 
+    /// Gives the final answer to one that the module does not decide on any more.
+    pub(super) fn give_up_on(&mut self, id: u64) {
+        if let Some(order) = self.ledger.get(id).map(Transaction::last_word) {
+            self.answer(id, order);
+        }
+    }
+
     /// A transaction is over and waits no more; if it never had an attempt, that is counted.
     pub(super) fn missed(&mut self, transaction: &Transaction, how: Option<Miss>) {
         self.gate.leave(transaction.entry.id);
@@ -123,7 +130,7 @@
                     self.decide(api::Event::Standing { arrival, server });
                 }
                 Place::Held(_) => {}
-                Place::Waiting | Place::Out(_) => self.answer(id, Order::Failed),
+                Place::Waiting | Place::Out(_) => self.give_up_on(id),
             }
         }
     }
@@ -138,3 +145,6 @@
         api::Why::Cold => "a cold server has room",
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/balancer/src/core/testing.rs
+++ b/balancer/src/core/testing.rs
@@ -5,6 +5,7 @@
 
 use beaconflow_overrides::Set;
 
+use super::lifecycle::Word;
 use super::start::build;
 use super::{Carrier, Core, Opening, Order, Start};
 use crate::clock::Clock;
@@ -78,7 +79,7 @@
         let own = orders.iter().filter(|(of, _)| *of == id);
         own.fold((0, 0), |(passes, answers), (_, order)| match order {
             Order::Pass { .. } => (passes + 1, answers),
-            Order::Unavailable(_) | Order::Failed => (passes, answers + 1),
+            Order::Unavailable(_) | Order::Failed | Order::GiveUp => (passes, answers + 1),
             Order::Move | Order::Give => (passes, answers),
         })
     }
@@ -102,3 +103,13 @@
     };
     core.admit(id, opening, Arc::<Orders>::clone(orders));
 }
+
+impl Core {
+    /// Begins a drain whose last answers are due at once, and has them given.
+    pub(super) fn end_drain_now(&mut self) {
+        for word in [Word::Listens(true), Word::Knows, Word::Leave] {
+            self.follow_word(word).expect("no order of an operator's");
+        }
+        self.answer_all_that_is_on_its_way();
+    }
+}
--- a/balancer/src/stages/transaction.rs
+++ b/balancer/src/stages/transaction.rs
@@ -398,7 +398,11 @@
 
     fn order(&mut self, order: Order, shared: &Shared<F>) {
         match (&mut self.phase, order) {
-            (Phase::Standing(standing), Order::Move) => {
+            // A last word that crossed the server's answer: the core knows of it no more, so nobody else moves it.
+            (
+                Phase::Standing(standing),
+                Order::Move | Order::Unavailable(_) | Order::Failed | Order::GiveUp,
+            ) => {
                 let went = standing.move_on(&shared.moving);
                 self.go_on(went, shared);
             }
@@ -410,7 +414,7 @@
                 *answer = Some(order);
             }
             (Phase::Waiting(_), Order::Unavailable(after)) => self.answer(Word::Unavailable(after), shared),
-            (Phase::Waiting(_), Order::Failed) => self.answer(Word::Failed, shared),
+            (Phase::Waiting(_), Order::Failed | Order::GiveUp) => self.answer(Word::Failed, shared),
             _ => {}
         }
     }
@@ -423,6 +427,9 @@
         };
         let Some(passed) = passed else { return self.panicked(shared) };
         match (answer, passed) {
+            (Some(Order::GiveUp), Err(error)) if error.outcome().never_ran() => {
+                self.order(Order::Unavailable(None), shared);
+            }
             // The core has given it up meanwhile.
             (Some(answer), _) => self.order(answer, shared),
             (None, Ok(passed)) => self.stand(passed, shared),
@@ -530,3 +537,6 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests;
