--- /dev/null
+++ b/cli/tests/support/late.rs
@@ -0,0 +1,75 @@
+//! A stand-in for an application server to which connections come up late: when the test lets them.
+
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+use super::{PATIENCE, Peer, listener};
+
+/// The server. One connection fills its queue, so that the system leaves further ones unanswered; they try again
+/// after about a second.
+pub struct Late {
+    pub address: SocketAddr,
+    listener: TcpListener,
+    filler: TcpStream,
+}
+
+impl Late {
+    pub fn start() -> Late {
+        let listener = listener();
+        let address = listener.local_addr().expect("bound");
+        rustix::net::listen(&listener, 0).expect("it listens already");
+        let filler = TcpStream::connect(address).expect("room for one");
+        Late { address, listener, filler }
+    }
+
+    /// Waits until a connection is under way, or none is any more.
+    pub fn waits_for(&self, is_connecting: bool) {
+        let until = Instant::now() + PATIENCE;
+        while is_connecting_to(self.address) != is_connecting {
+            assert!(Instant::now() < until, "never so: connecting {is_connecting}");
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+
+    /// Makes room, so that what still tries comes up.
+    pub fn comes_up(self) -> TcpListener {
+        drop(self.listener.accept().expect("the one that filled it"));
+        drop(self.filler);
+        self.listener
+    }
+
+    /// Makes room and gives the first words that anybody says within this span.
+    pub fn comes_up_and_hears(self, within: Duration) -> Option<String> {
+        first_words(&self.comes_up(), within)
+    }
+}
+
+/// The first words that anybody says to a server within this span; connections that end without words are none.
+pub fn first_words(listener: &TcpListener, within: Duration) -> Option<String> {
+    listener.set_nonblocking(true).expect("open");
+    let until = Instant::now() + within;
+    while Instant::now() < until {
+        let Ok((stream, _)) = listener.accept() else {
+            std::thread::sleep(Duration::from_millis(2));
+            continue;
+        };
+        stream.set_nonblocking(false).expect("open");
+        if let Some(words) = Peer::new(stream).hear_or_end() {
+            return Some(words);
+        }
+    }
+    None
+}
+
+/// Whether the system has a connection to that address under way.
+fn is_connecting_to(address: SocketAddr) -> bool {
+    /// The state of a connection whose first packet has not been answered, in the system's table.
+    const SYN_SENT: &str = "02";
+    let SocketAddr::V4(address) = address else { return false };
+    let peer = format!("{:08X}:{:04X}", u32::from_ne_bytes(address.ip().octets()), address.port());
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("the system's table");
+    table.lines().any(|line| {
+        let mut fields = line.split_whitespace().skip(2);
+        fields.next() == Some(&peer) && fields.next() == Some(SYN_SENT)
+    })
+}
--- a/cli/tests/support/mod.rs
+++ b/cli/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod fleet;
 pub mod held;
+pub mod late;
 pub mod nats;
 pub mod site;
 
