--- a/cli/tests/nats.rs
+++ b/cli/tests/nats.rs
@@ -477,3 +477,138 @@
     assert_eq!(open(&site, 3), 0);
     site.check();
 }
+
+/// Longer than any delay between attempts, and than the second after which the system tries a connection again.
+const ALL_DELAYS: Duration = Duration::from_millis(1_500);
+
+/// An attempt that begins later than this after its client has left breaks the rule.
+const ALLOWANCE: Duration = Duration::from_millis(100);
+
+/// Well under the time after which an attempt is given up for a client that waits, and long on a busy machine.
+const AT_ONCE: Duration = Duration::from_secs(2);
+
+/// Waits until something is so.
+fn becomes_so(what: &str, is_so: impl Fn() -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while !is_so() {
+        assert!(Instant::now() < until, "never so: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Ends a client's connection in order, behind what it has sent early, or by a reset.
+fn leaves(client: Peer, by_reset: bool) {
+    if by_reset {
+        socket2::SockRef::from(&client.stream).set_linger(Some(Duration::ZERO)).expect("open");
+    }
+    drop(client);
+}
+
+#[test]
+fn a_client_that_leaves_during_a_connect_ends_it_and_is_never_sent_on() {
+    let patient = SETTINGS.replace("\"connect-timeout-ns\":200000000", "\"connect-timeout-ns\":30000000000");
+    for by_reset in [false, true] {
+        let site = Site::with(&format!("connect{by_reset}"), &patient);
+        let late = support::late::Late::start();
+        let mut watch = site.discovery.watch();
+        tell(&mut watch, 1, true, &[("late", late.address, "SERVING")]);
+        site.program.says("generation=1");
+        let client = site.client("gone");
+        late.waits_for(true);
+        let left = Instant::now();
+        leaves(client, by_reset);
+        late.waits_for(false);
+        assert!(left.elapsed() < AT_ONCE, "withdrawn after {:?}", left.elapsed());
+        assert_eq!(late.comes_up_and_hears(ALL_DELAYS), None);
+    }
+}
+
+#[test]
+fn a_client_that_leaves_before_its_server_says_info_is_never_sent_on() {
+    for by_reset in [false, true] {
+        let site = Site::with(
+            &format!("info{by_reset}"),
+            &SETTINGS.replace("\"on-time-ns\":400000000", "\"on-time-ns\":2000000000"),
+        );
+        let late = site.server("late", Manner::LateInfo);
+        let mut watch = site.discovery.watch();
+        tell(&mut watch, 1, true, &rows(&[(&late, "SERVING")]));
+        site.program.says("generation=1");
+        let speaking = late.voice.lock().expect("sound");
+        let client = site.client("gone");
+        let counts = || site.api.call("GET", "/v1/counts", "").body;
+        becomes_so("a pass is out", || counts()["fronts"]["nats"]["passes"] == 1);
+        leaves(client, by_reset);
+        drop(speaking);
+        let mut after = site.client("after");
+        after.hears("PONG");
+        std::thread::sleep(ALL_DELAYS);
+        assert_eq!(site.record.lock().expect("sound").passes_of("gone"), 0);
+    }
+}
+
+#[test]
+fn a_client_that_leaves_the_admission_queue_is_never_sent_on() {
+    const WINDOW: usize = 12;
+    for by_reset in [false, true] {
+        let site = Site::with(
+            &format!("line{by_reset}"),
+            &SETTINGS.replace("\"on-time-ns\":400000000", "\"on-time-ns\":2000000000"),
+        );
+        assert_eq!(site.ask("POST", "/v1/tenants", &tenant("many", "chat", 40)).0, 201);
+        let late = site.server("late", Manner::LateInfo);
+        let mut watch = site.discovery.watch();
+        tell(&mut watch, 1, true, &rows(&[(&late, "SERVING")]));
+        site.program.says("generation=1");
+        let speaking = late.voice.lock().expect("sound");
+        let named = |name: &str| client(site.at, name, "many", PASSWORD);
+        let mut first: Vec<Peer> = (0..WINDOW).map(|at| named(&format!("c{at}"))).collect();
+        let counts = || site.api.call("GET", "/v1/counts", "").body;
+        becomes_so("all passes are out", || counts()["fronts"]["nats"]["passes"] == WINDOW);
+        let gone = named("gone");
+        let waiting = || site.api.call("GET", "/v1/admission", "").body["fronts"][0]["waiting"].as_u64();
+        becomes_so("it waits", || waiting() == Some(1));
+        leaves(gone, by_reset);
+        drop(speaking);
+        first.iter_mut().for_each(|client| client.hears("PONG"));
+        named("after").hears("PONG");
+        std::thread::sleep(ALL_DELAYS);
+        assert_eq!(site.record.lock().expect("sound").passes_of("gone"), 0);
+    }
+}
+
+#[test]
+fn a_client_that_leaves_in_a_delay_between_attempts_is_not_sent_on_again() {
+    for by_reset in [false, true] {
+        let site = Site::start(&format!("delay{by_reset}"));
+        let full = site.server("full", Manner::Full);
+        let mut watch = site.discovery.watch();
+        tell(&mut watch, 1, true, &rows(&[(&full, "SERVING")]));
+        site.program.says("generation=1");
+        let client = site.client("gone");
+        let passes = || site.record.lock().expect("sound").passes_of("gone");
+        becomes_so("it was sent on", || passes() > 0);
+        leaves(client, by_reset);
+        std::thread::sleep(ALLOWANCE);
+        let made = passes();
+        std::thread::sleep(ALL_DELAYS);
+        assert_eq!(passes(), made);
+    }
+}
+
+#[test]
+fn a_client_that_leaves_while_the_store_is_asked_is_never_sent_on() {
+    for by_reset in [false, true] {
+        let site = Site::start(&format!("asked{by_reset}"));
+        let server = site.server("s", Manner::Serve);
+        let mut watch = site.discovery.watch();
+        tell(&mut watch, 1, true, &rows(&[(&server, "SERVING")]));
+        site.program.says("generation=1");
+        site.redis.manner(beaconflow_contracts::redis::Manner::Slow(Duration::from_millis(200)));
+        leaves(site.client("gone"), by_reset);
+        let mut after = site.client("after");
+        after.hears("PONG");
+        std::thread::sleep(ALL_DELAYS);
+        assert_eq!(site.record.lock().expect("sound").passes_of("gone"), 0);
+    }
+}
