A whole list marks as leaving only servers that it leaves out, and a late connect counts

Cause: a whole list (each new watch may bring one) first marked every server as leaving and then took the mark back for those listed. A pass that was about to write its head in between was withheld from a sound server, which costs one of its attempts. The marks are now set after the list was read. A connect that has not come up when its attempt may no longer begin is a connect that failed, as before, and counts against its server.

--- a/balancer/src/core/farm.rs
+++ b/balancer/src/core/farm.rs
@@ -141,7 +141,6 @@
     ) -> Vec<Entry> {
         if list.reset {
             for known in &mut self.known {
-                known.server.mark.leaving.store(true, Ordering::SeqCst);
                 (known.listed.state, known.told.state) = (State::Gone, State::Gone);
             }
         }
@@ -150,7 +149,11 @@
             list.instances.into_iter().filter_map(|listed| self.enter(listed, now, &zone)).collect();
         if reset {
             let gone = self.known.iter_mut().filter(|known| known.told.state == State::Gone);
-            gone.for_each(|known| known.ready_since = None);
+            for known in gone {
+                known.ready_since = None;
+                // Only now: one that is listed again is not marked in between, under a pass that is about to begin.
+                known.server.mark.leaving.store(true, Ordering::SeqCst);
+            }
         }
         entries
     }
@@ -388,3 +391,6 @@
     }
     told
 }
+
+#[cfg(test)]
+mod tests;
--- a/balancer/src/stages/send.rs
+++ b/balancer/src/stages/send.rs
@@ -41,8 +41,9 @@
     Ok(Passed { server, answer, ahead })
 }
 
-/// Connects, for as long as the pass may still begin. The wait ends at once with a client that leaves, and soon
-/// with one that the core has given up on: neither has to wait for a server that is late to come up.
+/// Connects, for as long as the pass may still begin: one that has not come up by then counts against its server.
+/// The wait ends at once with a client that leaves, and soon with one that the core has given up on: neither has to
+/// wait for a server that is late to come up.
 pub fn connect(
     to: SocketAddr,
     client: &mut dyn Client,
@@ -58,7 +59,7 @@
         if client_ready {
             client.look().map_err(PassError::ClientLeft)?;
         }
-        if client.is_given_up() || Instant::now() >= times.begin_by {
+        if client.is_given_up() {
             return Err(PassError::Withheld);
         }
         if is_decided {
