Tests: a connect and a first byte beside a leaving client, a last word and moments that go by

Seen failing with the check in front of the head taken out: the fourth. The others hold the new connect to what the blocking one did for those who wait.

--- a/balancer/src/stages/send.rs
+++ b/balancer/src/stages/send.rs
@@ -81,3 +81,6 @@
         _ => Ok(socket.into()),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/balancer/src/stages/send/tests.rs
@@ -0,0 +1,119 @@
+//! A connect and a first byte, beside a client that leaves, a last word and moments that go by.
+
+use std::io::Read;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use super::*;
+use crate::net::ReadError;
+
+/// Longer than a test waits for anything.
+const LONG: Duration = Duration::from_secs(30);
+
+/// A client whose other end the test holds.
+struct Waits {
+    stream: TcpStream,
+    is_given_up: Arc<AtomicBool>,
+}
+
+impl Client for Waits {
+    fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+
+    fn is_given_up(&self) -> bool {
+        self.is_given_up.load(Ordering::Relaxed)
+    }
+
+    fn look(&mut self) -> Result<(), ReadError> {
+        match (&self.stream).read(&mut [0; 8]) {
+            Ok(0) => Err(ReadError::Ended),
+            Ok(_) => Ok(()),
+            Err(error) if net::is_wait(&error) => Ok(()),
+            Err(error) => Err(ReadError::Broken(error)),
+        }
+    }
+}
+
+fn client() -> (Waits, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback");
+    let far = TcpStream::connect(listener.local_addr().expect("bound")).expect("it listens");
+    let stream = listener.accept().expect("it came").0;
+    net::prepare(&stream).expect("open");
+    (Waits { stream, is_given_up: Arc::default() }, far)
+}
+
+/// A listener whose queue one connection fills: what else would connect goes on trying.
+fn late() -> (TcpListener, TcpStream) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(&any.into()).expect("loopback");
+    socket.listen(0).expect("bound");
+    let listener: TcpListener = socket.into();
+    let filler = TcpStream::connect(listener.local_addr().expect("bound")).expect("room for one");
+    (listener, filler)
+}
+
+fn after(span: Duration) -> PassTimes {
+    let moment = Instant::now() + span;
+    PassTimes { begin_by: moment, until: moment }
+}
+
+#[test]
+fn a_connect_that_is_not_up_when_the_attempt_may_no_longer_begin_has_failed() {
+    let (listener, _filler) = late();
+    let to = listener.local_addr().expect("bound");
+    let (mut client, _far) = client();
+    let ended = connect(to, &mut client, after(Duration::from_millis(50)), LONG);
+    assert!(matches!(ended, Err(PassError::NotConnected(_))), "{ended:?}");
+    let ended = connect(to, &mut client, after(LONG), Duration::from_millis(50));
+    assert!(matches!(ended, Err(PassError::NotConnected(_))), "{ended:?}");
+}
+
+#[test]
+fn a_client_that_leaves_or_is_given_up_on_ends_the_connect() {
+    let (listener, _filler) = late();
+    let to = listener.local_addr().expect("bound");
+    let began = Instant::now();
+    let (mut left, far) = client();
+    drop(far);
+    let ended = connect(to, &mut left, after(LONG), LONG);
+    assert!(matches!(ended, Err(PassError::ClientLeft(ReadError::Ended))), "{ended:?}");
+    let (mut given_up, _far) = client();
+    given_up.is_given_up.store(true, Ordering::Relaxed);
+    let ended = connect(to, &mut given_up, after(LONG), LONG);
+    assert!(matches!(ended, Err(PassError::Withheld)), "{ended:?}");
+    assert!(began.elapsed() < LONG / 3);
+}
+
+#[test]
+fn a_refused_connect_has_failed_and_one_that_comes_up_is_up() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback");
+    let to = listener.local_addr().expect("bound");
+    let (mut client, _far) = client();
+    assert!(connect(to, &mut client, after(LONG), LONG).is_ok());
+    drop(listener);
+    let ended = connect(to, &mut client, after(LONG), LONG);
+    assert!(matches!(ended, Err(PassError::NotConnected(_))), "{ended:?}");
+}
+
+#[test]
+fn no_first_byte_is_written_too_late_or_after_the_last_word() {
+    for is_given_up in [false, true] {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("loopback");
+        let to = ApplicationServer::new("s0".into(), listener.local_addr().expect("bound"));
+        let (mut client, _far) = client();
+        client.is_given_up.store(is_given_up, Ordering::Relaxed);
+        let server = TcpStream::connect(to.address).expect("it listens");
+        let begin_by = if is_given_up { Instant::now() + LONG } else { Instant::now() };
+        let times = PassTimes { begin_by, until: Instant::now() + LONG };
+        let mut asking = Asking::new(server, &to, &mut client, times);
+        let ended = asking.head(&[b"OPEN\r\n"]);
+        assert!(matches!(ended, Err(PassError::Withheld)), "{ended:?}");
+        drop(asking);
+        let mut words = String::new();
+        listener.accept().expect("it came").0.read_to_string(&mut words).expect("text");
+        assert_eq!(words, "");
+    }
+}
