Test: events in every order against module and admission queue, for every effect and scope

Rules checked after each step: one attempt at a time and none once the client has left or been answered; ready servers alone; effect, scope and window at the latest first byte; the attempt limit; one final answer by the client's time, a refusal if and only if nothing may have run; a bounded queue that empties. 300 seeds of 300 steps; the test says itself that repeats of every effect and queued requests came up.

--- /dev/null
+++ b/instance/tests/interleavings.rs
@@ -0,0 +1,335 @@
+//! Events in every order, by chance, against the module and the admission queue together: after each step the rules
+//! hold for each request, whatever its class may repeat.
+
+use std::collections::BTreeMap;
+
+use beaconflow::api::*;
+use beaconflow_admission::{Bound, Limits as Queues};
+use beaconflow_instance::{Decides, Instance};
+
+const MS: Nanos = 1_000_000;
+const SECOND: Nanos = 1_000 * MS;
+/// Shorter than most deadlines here, so that it ends while a request still waits.
+const WINDOW: Nanos = 400 * MS;
+const MAX_ATTEMPTS: u32 = 4;
+const SERVERS: u32 = 5;
+/// Few enough that some have to give way.
+const MOST_QUEUED: usize = 6;
+
+const REPEATS: [Repeat; 5] = [
+    Repeat::Safe,
+    Repeat::Unsafe,
+    Repeat::Keyed { scope: Scope::All, window: WINDOW },
+    Repeat::Keyed { scope: Scope::Zone, window: WINDOW },
+    Repeat::Keyed { scope: Scope::Cell, window: WINDOW },
+];
+
+fn settings() -> Settings {
+    let class = |repeat| Class { aim: 200 * MS, deadline: SECOND, repeat, message_aim: 100 * MS, worth: 1.0 };
+    Settings {
+        gateways: 1,
+        rank: 0,
+        zone: ZoneId(0),
+        classes: REPEATS.into_iter().map(class).collect(),
+        discovery: Discovery::Pushed,
+        live_weights: false,
+        limits: Limits {
+            max_attempts: MAX_ATTEMPTS,
+            retry_after: true,
+            max_retry_after: SECOND,
+            may_probe: false,
+            connect_timeout: 50 * MS,
+        },
+        rules: Rules {
+            cold_share: 0.2,
+            cold_time: 20 * SECOND,
+            tip_multiple: 3.0,
+            fall_time: SECOND,
+            ask_within: 10 * SECOND,
+        },
+        prices: Prices::default(),
+    }
+}
+
+fn entry(server: u32, state: State) -> Entry {
+    Entry {
+        server: ServerId(server),
+        tag: u64::from(server) << 40,
+        state,
+        zone: ZoneId(server % 2),
+        cell: server / 2,
+        kind: 0,
+        weight: 1.0,
+        rises_to: None,
+        started_at: 0,
+    }
+}
+
+/// The same numbers in every run (a linear congruential generator).
+struct Chance(u64);
+
+impl Chance {
+    fn below(&mut self, bound: u64) -> u64 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % bound
+    }
+}
+
+/// What a client and its servers know of a request.
+struct Seen {
+    repeat: Repeat,
+    give_up_at: Nanos,
+    attempts: u32,
+    /// Where it is out, since when, and until when its first byte may be sent.
+    out: Option<(ServerId, Nanos, Nanos)>,
+    /// The first attempt that may have run.
+    ran: Option<(ServerId, Nanos)>,
+    stands: bool,
+    answers: u32,
+    left: bool,
+}
+
+impl Seen {
+    fn is_over(&self) -> bool {
+        self.stands || self.left || self.answers > 0
+    }
+}
+
+struct World {
+    instance: Instance,
+    chance: Chance,
+    now: Nanos,
+    requests: BTreeMap<u64, Seen>,
+    states: BTreeMap<u32, State>,
+    timers: Vec<(Nanos, TimerId)>,
+}
+
+impl World {
+    fn new(seed: u64) -> World {
+        let queues = Queues { all: Bound { entries: MOST_QUEUED, bytes: usize::MAX }, ..Queues::default() };
+        let instance = Instance::new(settings(), vec![1.0, 2.0], queues, seed).expect("in range");
+        let (requests, states, timers) = (BTreeMap::new(), BTreeMap::new(), Vec::new());
+        let mut world = World { instance, chance: Chance(seed), now: SECOND, requests, states, timers };
+        let entries: Vec<Entry> = (0..SERVERS).map(|server| entry(server, State::Ready)).collect();
+        world.states.extend((0..SERVERS).map(|server| (server, State::Ready)));
+        world.tell(Event::List { kind: ListKind::Full, entries });
+        world
+    }
+
+    fn tell(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.instance.handle(self.now, event, &mut actions);
+        self.follow(actions);
+    }
+
+    fn follow(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Attempt { request, server, begin_within, timeout } => {
+                    self.attempt(request.0, server, (begin_within, timeout));
+                }
+                Action::Refuse { request, .. } => {
+                    let seen = self.answered(request.0);
+                    assert!(seen.ran.is_none(), "refused, but it may have run");
+                }
+                Action::Fail(request) => {
+                    let seen = self.answered(request.0);
+                    assert!(seen.ran.is_some(), "failed, but it never ran");
+                }
+                Action::Wake { after, timer } => self.timers.push((self.now + after, timer)),
+                Action::Wait(request) => {
+                    let seen = &self.requests[&request.0];
+                    assert!(!seen.is_over() && seen.out.is_none());
+                }
+                Action::Move(request, _) => drop(self.requests.remove(&request.0)),
+                Action::Probe(_) | Action::Watch | Action::Log(_) => {}
+            }
+        }
+        assert!(self.instance.waiting() <= MOST_QUEUED);
+    }
+
+    fn answered(&mut self, id: u64) -> &Seen {
+        let seen = self.requests.get_mut(&id).expect("it came");
+        assert!(!seen.is_over() && seen.out.is_none(), "one final answer, with no attempt out");
+        seen.answers += 1;
+        seen
+    }
+
+    fn attempt(&mut self, id: u64, to: ServerId, (begin_within, timeout): (Nanos, Nanos)) {
+        let now = self.now;
+        let seen = self.requests.get_mut(&id).expect("it came");
+        assert!(!seen.is_over(), "nothing is sent for one that is over or has left");
+        assert!(seen.out.is_none(), "one attempt at a time");
+        assert!(seen.attempts < MAX_ATTEMPTS);
+        assert_eq!(self.states[&to.0], State::Ready);
+        assert!(begin_within > 0 && begin_within <= timeout && now + timeout <= seen.give_up_at);
+        if let Some((first, sent_at)) = seen.ran {
+            let (one, other) = (entry(first.0, State::Ready), entry(to.0, State::Ready));
+            let in_window = now + begin_within <= sent_at + WINDOW;
+            assert!(match seen.repeat {
+                Repeat::Safe => true,
+                Repeat::Unsafe => false,
+                Repeat::Keyed { scope: Scope::All, .. } => in_window,
+                Repeat::Keyed { scope: Scope::Zone, .. } => in_window && one.zone == other.zone,
+                Repeat::Keyed { scope: Scope::Cell, .. } => in_window && one.cell == other.cell,
+            });
+        }
+        seen.attempts += 1;
+        seen.out = Some((to, now, now + begin_within));
+    }
+
+    fn end(&mut self, id: u64, outcome: Outcome) {
+        let now = self.now;
+        let Some(seen) = self.requests.get_mut(&id) else { return };
+        let Some((server, sent_at, begin_by)) = seen.out.take() else { return };
+        // A first byte that comes too late is withheld, whatever the server would have said.
+        let outcome = if now >= begin_by && outcome.never_ran() { Outcome::NotSent } else { outcome };
+        if !outcome.never_ran() {
+            seen.ran.get_or_insert((server, sent_at));
+        }
+        let attempt = seen.attempts - 1;
+        let closed = seen.stands || outcome == Outcome::Served;
+        seen.stands |= closed;
+        self.tell(Event::Ended { request: RequestId(id), attempt, outcome, took: now - sent_at, closed });
+    }
+
+    fn arrive(&mut self) {
+        let id = self.requests.keys().next_back().map_or(0, |last| last + 1);
+        let class = self.chance.below(REPEATS.len() as u64) as usize;
+        let give_up_at = self.now + MS * (1 + self.chance.below(1_000));
+        let seen = Seen {
+            repeat: REPEATS[class],
+            give_up_at,
+            attempts: 0,
+            out: None,
+            ran: None,
+            stands: false,
+            answers: 0,
+            left: false,
+        };
+        self.requests.insert(id, seen);
+        let arrival = Arrival {
+            request: RequestId(id),
+            give_up_at,
+            class: ClassId(class),
+            key: Some(ClientKey(id % 9)),
+            group: None,
+            returns: false,
+            load: None,
+            pin: None,
+        };
+        let (account, mut actions) = (self.chance.below(2) as usize, Vec::new());
+        self.instance.arrives(self.now, arrival, account, false, &mut actions);
+        self.follow(actions);
+    }
+
+    /// Lets time pass; attempts whose client's time is up are given up before later timers fire.
+    fn pass(&mut self, span: Nanos) {
+        let end = self.now + span;
+        loop {
+            let waits = |seen: &Seen| seen.out.is_some() && !seen.is_over();
+            let late = self.requests.iter().filter(|(_, seen)| waits(seen));
+            let late = late.map(|(id, seen)| (seen.give_up_at, *id)).min().filter(|(at, _)| *at <= end);
+            self.timers.sort();
+            let due = self.timers.first().copied().filter(|(at, _)| *at <= end);
+            match (late, due) {
+                (Some((at, id)), due) if due.is_none_or(|(other, _)| at <= other) => {
+                    self.now = self.now.max(at);
+                    self.end(id, Outcome::TimedOut);
+                }
+                (_, Some((at, timer))) => {
+                    self.timers.remove(0);
+                    self.now = self.now.max(at);
+                    self.tell(Event::Timer(timer));
+                }
+                _ => break,
+            }
+        }
+        self.now = end;
+        for (id, seen) in &self.requests {
+            assert!(seen.is_over() || end < seen.give_up_at, "request {id} has no answer in time");
+        }
+    }
+
+    /// One of the requests that are out.
+    fn pick(&mut self) -> Option<u64> {
+        let out: Vec<u64> = self
+            .requests
+            .iter()
+            .filter(|(_, seen)| seen.out.is_some() && !seen.is_over())
+            .map(|(id, _)| *id)
+            .collect();
+        let at = self.chance.below(out.len().max(1) as u64) as usize;
+        out.get(at).copied()
+    }
+
+    fn step(&mut self) {
+        const OUTCOMES: [Outcome; 8] = [
+            Outcome::Served,
+            Outcome::Error,
+            Outcome::Full,
+            Outcome::TimedOut,
+            Outcome::ConnectFailed,
+            Outcome::Reset,
+            Outcome::Cancelled,
+            Outcome::NotSent,
+        ];
+        match self.chance.below(12) {
+            0..=3 => self.arrive(),
+            4..=6 => {
+                let outcome = OUTCOMES[self.chance.below(8) as usize];
+                if let Some(id) = self.pick() {
+                    self.end(id, outcome);
+                }
+            }
+            7 => {
+                if let Some(id) = self.pick() {
+                    let seen = self.requests.get_mut(&id).expect("just picked");
+                    seen.stands = true;
+                    let attempt = seen.attempts - 1;
+                    self.tell(Event::Established { request: RequestId(id), attempt });
+                }
+            }
+            8 => {
+                let last = self.requests.keys().next_back().copied().unwrap_or(0);
+                let id = last - self.chance.below(last + 1).min(20);
+                if let Some(seen) = self.requests.get_mut(&id).filter(|seen| !seen.is_over()) {
+                    (seen.left, seen.out) = (true, None);
+                    self.tell(Event::ClientLeft(RequestId(id)));
+                }
+            }
+            9 => {
+                let server = self.chance.below(u64::from(SERVERS)) as u32;
+                let states = [State::Ready, State::Ready, State::Draining, State::Gone];
+                let state = states[self.chance.below(4) as usize];
+                self.states.insert(server, state);
+                self.tell(Event::List { kind: ListKind::Changes, entries: vec![entry(server, state)] });
+            }
+            _ => {
+                let span = MS * self.chance.below(120);
+                self.pass(span);
+            }
+        }
+    }
+}
+
+#[test]
+fn the_rules_hold_after_every_step_of_any_interleaving() {
+    let mut repeated = [0; REPEATS.len()];
+    let mut queued = 0;
+    for seed in 0..300 {
+        let mut world = World::new(seed);
+        for _ in 0..300 {
+            world.step();
+            queued += usize::from(world.instance.waiting() > 0);
+        }
+        world.pass(2 * SECOND);
+        assert_eq!(world.instance.waiting(), 0, "seed {seed}: nobody waits for ever");
+        for (place, repeat) in REPEATS.iter().enumerate() {
+            let again = |seen: &&Seen| seen.repeat == *repeat && seen.attempts > 1;
+            repeated[place] += world.requests.values().filter(again).count();
+        }
+    }
+    // The test tests something: requests of every effect were repeated, and some waited in the queue.
+    assert!(repeated.iter().all(|count| *count > 100) && queued > 1_000, "{repeated:?}, queued {queued}");
+}
