--- a/balancer/src/core/events.rs
+++ b/balancer/src/core/events.rs
@@ -1,7 +1,7 @@
 //! What the core hears and what it orders, in the words of no wire.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use beaconflow::api::{Nanos, Note, Outcome, ServerId};
 use beaconflow_overrides::Judgement;
@@ -121,6 +121,15 @@
     Trouble,
 }
 
+/// The moments that bound a pass. They are set by the core, so that an order that waits gains no time by it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PassTimes {
+    /// Its first byte is not written at or after this moment.
+    pub begin_by: Instant,
+    /// It is given up then.
+    pub until: Instant,
+}
+
 /// What a transaction is to do.
 #[derive(Debug)]
 pub enum Order {
@@ -128,13 +137,16 @@
     Pass {
         /// Where to.
         to: Arc<ApplicationServer>,
-        /// How long it may take in all.
-        within: Duration,
+        /// When it has to have begun and to have its answer.
+        times: PassTimes,
     },
     /// Final answer: unavailable; a new try does no harm, after the span if one is given.
     Unavailable(Option<Duration>),
     /// Final answer: failed.
     Failed,
+    /// Final answer to a client whose only pass that may have run is the one that is out: unavailable if it proves
+    /// not to have run, else failed.
+    GiveUp,
     /// Move the client.
     Move,
     /// Give the standing connection to the process that takes this one's place, if there is one.
--- a/balancer/src/core/route.rs
+++ b/balancer/src/core/route.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use beaconflow::Balancer;
-use beaconflow::api::{self, Action};
+use beaconflow::api::{self, Action, Nanos};
 use beaconflow_admission::Miss;
 use tracing::{debug, error, info};
 
 use super::ledger::{Place, Transaction};
-use super::{Core, Due, Order, ties};
+use super::{Core, Due, Order, PassTimes, ties};
 
 impl Core {
     /// Hands an event to the module, carries out what it decides, and gives turns to those who wait.
@@ -30,18 +30,21 @@
             self.start_anew();
         }
         for action in actions.drain(..) {
-            self.carry_out(action);
+            self.carry_out(now, action);
         }
         self.actions = actions;
     }
 
-    fn carry_out(&mut self, action: Action) {
+    /// Carries out what the module decided at that moment.
+    fn carry_out(&mut self, decided_at: Nanos, action: Action) {
         match action {
-            Action::Attempt { request, server, timeout } => match self.farm.get(server) {
+            Action::Attempt { request, server, begin_within, timeout } => match self.farm.get(server) {
                 Some(to) => {
                     let within = Duration::from_nanos(timeout);
                     debug!(part = self.name, transaction = request.0, server = %to.name, ?within, "pass");
-                    let (now, order) = (self.clock.now(), Order::Pass { to, within });
+                    let moment = |span| self.clock.instant(decided_at.saturating_add(span));
+                    let times = PassTimes { begin_by: moment(begin_within), until: moment(timeout) };
+                    let (now, order) = (self.clock.now(), Order::Pass { to, times });
                     self.witness_pass(server, now);
                     if let Some((entry, waited)) = self.ledger.pass(request.0, server, order, now) {
                         self.gate.admitted(now, &entry, waited);
@@ -85,6 +88,13 @@
         }
     }
 
+    /// Gives the final answer to one that the module does not decide on any more.
+    pub(super) fn give_up_on(&mut self, id: u64) {
+        if let Some(order) = self.ledger.get(id).map(Transaction::last_word) {
+            self.answer(id, order);
+        }
+    }
+
     /// A transaction is over and waits no more; if it never had an attempt, that is counted.
     pub(super) fn missed(&mut self, transaction: &Transaction, how: Option<Miss>) {
         self.gate.leave(transaction.entry.id);
@@ -120,7 +130,7 @@
                     self.decide(api::Event::Standing { arrival, server });
                 }
                 Place::Held(_) => {}
-                Place::Waiting | Place::Out(_) => self.answer(id, Order::Failed),
+                Place::Waiting | Place::Out(_) => self.give_up_on(id),
             }
         }
     }
@@ -135,3 +145,6 @@
         api::Why::Cold => "a cold server has room",
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/cli/tests/support/mod.rs
+++ b/cli/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod discovery;
 pub mod fleet;
 pub mod held;
+pub mod late;
 pub mod nats;
 pub mod peer;
 pub mod program;
