--- a/balancer/src/handover.rs
+++ b/balancer/src/handover.rs
@@ -162,45 +162,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use std::io::{Read, Write};
-    use std::net::TcpListener;
-    use std::time::Duration;
-
-    use super::*;
-
-    fn pair() -> (TcpStream, TcpStream) {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("loopback");
-        let one = TcpStream::connect(listener.local_addr().expect("bound")).expect("loopback");
-        (one, listener.accept().expect("it came").0)
-    }
-
-    #[test]
-    fn a_connection_is_given_with_both_sockets_and_its_opening() {
-        let folder = tempfile::tempdir().expect("a folder");
-        let place = Place::of(folder.path(), "n0");
-        assert!(place.find().expect("an empty folder").is_none());
-        std::fs::write(&place.0, "of another time").expect("room");
-        assert!(place.find().is_ok_and(|found| found.is_none()), "what is no socket is survived");
-        let (send, taken) = crossbeam_channel::unbounded();
-        place.take(move |given| send.send(given).expect("the test waits")).expect("a socket");
-        assert!(place.find().expect("its own").is_none(), "nobody gives to itself");
-
-        let socket = Socket::new(Domain::UNIX, KIND, None).expect("a socket");
-        socket.connect(&SockAddr::unix(&place.0).expect("short")).expect("it takes");
-        let giver = Giver(socket);
-        let ((mut client, near), (far, mut server)) = (pair(), pair());
-        rustix::net::send(&giver.0, b"no line and no sockets", SendFlags::NOSIGNAL).expect("open");
-        giver.give((&near, &far), "s0", b"OPEN 01 02 c=chat").expect("it is taken");
-        drop((near, far));
-        let given = taken.recv_timeout(Duration::from_secs(10)).expect("it comes");
-        assert_eq!((given.at.as_str(), given.line.as_slice()), ("s0", b"OPEN 01 02 c=chat".as_slice()));
-        client.write_all(b"to the server").expect("open");
-        server.write_all(b"to the client").expect("open");
-        for (mut socket, words) in [(given.client, b"to the server"), (given.server, b"to the client")] {
-            let mut heard = [0; 13];
-            socket.read_exact(&mut heard).expect("open");
-            assert_eq!(&heard, words);
-        }
-    }
-}
+mod tests;
