A drain keeps within the time that the longest deadline leaves before the kill

Cause: a program that leaves may be killed 0.7 s after the longest deadline, which counts as 3 s only where it is longer. The drain's spans were fixed for 3 s: moves over 2.7 s, the end at 3.5 s. With a longest deadline of 1.2 s the kill comes at 1.9 s, with a third of the clients not moved and requests in flight not answered.

The mend in the core alone was not enough by reading: an opening that has not been heard out is waited for up to 1.5 s.

Change: the spans follow from the longest deadline of the settings that hold (drain.rs, Spans). With 3 s they are what they were. Whoever stands by is not killed and keeps the long ones. Shortly before the end openings are let go with their last answer; the listener's thread looks for that every 20 ms while the program leaves and somebody waits, and every 200 ms otherwise.

--- a/balancer/src/core/drain.rs
+++ b/balancer/src/core/drain.rs
@@ -11,17 +11,23 @@
 use super::lifecycle::{Refused, State, Word};
 use super::{Core, Due, Order};
 
-/// The moves of a drain are spread over this. Guards against a herd of clients that all come again at once and
-/// overrun the application servers' set-ups: over 1.8 s they had first attempts wait for 1.5 s.
-const MOVES: Duration = Duration::from_millis(2_700);
-/// A front goes on sending newcomers for a part of a second; they are served for so long, and moved with the others.
-const NEWCOMERS: Duration = Duration::from_millis(1_500);
-/// Transactions still open after this get their final answer.
-const ANSWERS: Duration = Duration::from_millis(2_700);
+/// Deadlines longer than this count as this long for the moment at which a program that leaves may be killed.
+const LONGEST_DEADLINE: Duration = Duration::from_secs(3);
+/// A program that leaves may be killed so long after the longest deadline, both counted from SIGTERM.
+const KILL_AFTER_DEADLINE: Duration = Duration::from_millis(700);
+/// It is gone so long before: the last answers are still on their way then, and a machine may be slow.
+const LEFT_BEFORE_KILL: Duration = Duration::from_millis(200);
+/// The last move is ordered, and transactions still open get their final answer, so long before the program is gone.
+/// A client in the midst of a message is moved up to 0.7 s after the order.
+const MOVED_BEFORE_LEFT: Duration = Duration::from_millis(800);
+/// Clients that have not been heard out are let go so long before the program is gone: each is left its last answer.
+const HEARD_BEFORE_LEFT: Duration = Duration::from_millis(400);
+/// Newcomers are served for this part of the span in which clients are moved, so that there is time left to move them.
+const NEWCOMERS_PART: f64 = 5.0 / 9.0;
+/// They are served for so long at least: a front goes on sending them for 0.2 to 0.4 s.
+const NEWCOMERS_LEAST: Duration = Duration::from_millis(500);
 /// A program that leaves stays for so long, for the newcomers.
 const LEAVE_LEAST: Duration = Duration::from_millis(700);
-/// It is gone by then; it may be killed 3.7 s after the word.
-const LEAVE_MOST: Duration = Duration::from_millis(3_500);
 /// Period of the core's own look at what it leaves behind.
 const TICK: Duration = Duration::from_millis(20);
 
@@ -31,6 +37,33 @@
     /// Which one; what was set for an earlier one is void.
     number: u64,
     since: Nanos,
+    spans: Spans,
+}
+
+/// How a drain's time is divided, each span counted from its beginning.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Spans {
+    /// Newcomers are served for so long, and moved with the others.
+    newcomers: Duration,
+    /// The moves are spread over this, and transactions still open after it get their final answer. Guards against a
+    /// herd of clients that all come again at once and overrun the application servers' set-ups: over 1.8 s they had
+    /// first attempts wait for 1.5 s.
+    moves: Duration,
+    /// Clients are heard out for so long.
+    heard: Duration,
+    /// A program that leaves is gone by then.
+    left: Duration,
+}
+
+impl Spans {
+    /// The spans of a site with that longest deadline: the program may be killed soon after it.
+    fn of(longest_deadline: Duration) -> Spans {
+        let left = longest_deadline.min(LONGEST_DEADLINE) + KILL_AFTER_DEADLINE - LEFT_BEFORE_KILL;
+        let moves = left.saturating_sub(MOVED_BEFORE_LEFT).max(left / 2);
+        let newcomers = moves.mul_f64(NEWCOMERS_PART).max(NEWCOMERS_LEAST);
+        let heard = left.saturating_sub(HEARD_BEFORE_LEFT).max(left / 2);
+        Spans { newcomers, moves, heard, left }
+    }
 }
 
 impl Core {
@@ -60,26 +93,33 @@
     /// Moves all clients, spread over a while. Those that an earlier drain has told to move are not told again.
     fn begin_drain(&mut self) {
         self.drains += 1;
-        self.drain = Some(Drain { number: self.drains, since: self.clock.now() });
+        let spans = self.drain_spans();
+        self.drain = Some(Drain { number: self.drains, since: self.clock.now(), spans });
         let standing: Vec<u64> = self.ledger.movable().map(|(id, _)| id).collect();
         let count = u32::try_from(standing.len().max(1)).unwrap_or(u32::MAX);
         for (at, id) in (0..).zip(standing) {
             self.offer(id);
-            self.wake(MOVES * at / count, Due::Drained(self.drains, id));
+            self.wake(spans.moves * at / count, Due::Drained(self.drains, id));
         }
-        self.wake(self.drain_period(), Due::Drain(self.drains));
+        let looks_after = if self.lifecycle.state() == State::Leaving { TICK } else { spans.moves };
+        self.wake(looks_after, Due::Drain(self.drains));
     }
 
-    /// One that leaves looks again and again whether it has; on standby one look is enough: nobody comes after it.
-    fn drain_period(&self) -> Duration {
-        if self.lifecycle.state() == State::Leaving { TICK } else { ANSWERS }
+    /// Whoever stands by is not killed, and takes its time whatever the deadlines are.
+    fn drain_spans(&self) -> Spans {
+        if self.lifecycle.state() != State::Leaving {
+            return Spans::of(LONGEST_DEADLINE);
+        }
+        let longest = self.settings.classes.iter().map(|class| class.deadline).max();
+        Spans::of(Duration::from_nanos(longest.unwrap_or(0)))
     }
 
     /// A connection that came to stand in the midst of a drain is moved with the last of the others.
     pub(super) fn drain_stands(&mut self, id: u64) {
         if let Some(drain) = self.drain {
             self.offer(id);
-            self.wake(MOVES.saturating_sub(self.drained_for(drain)), Due::Drained(drain.number, id));
+            let left = drain.spans.moves.saturating_sub(self.drained_for(drain));
+            self.wake(left, Due::Drained(drain.number, id));
         }
     }
 
@@ -92,7 +132,7 @@
 
     /// Whether a newcomer is still served.
     pub(super) fn takes_newcomers(&self) -> bool {
-        self.drain.is_none_or(|drain| self.drained_for(drain) < NEWCOMERS)
+        self.drain.is_none_or(|drain| self.drained_for(drain) < drain.spans.newcomers)
     }
 
     /// It is a client's turn to be moved, unless the drain has been taken back.
@@ -105,9 +145,13 @@
     pub(super) fn go_on_draining(&mut self, number: u64) {
         let Some(drain) = self.drain.filter(|drain| drain.number == number) else { return };
         if self.lifecycle.state() == State::Leaving {
+            // One that leaves looks again and again whether it has; on standby one look is enough: nobody comes after it.
             self.wake(TICK, Due::Drain(number));
+            if self.drained_for(drain) >= drain.spans.heard {
+                self.shown.hears_nobody();
+            }
         }
-        if self.drained_for(drain) < ANSWERS {
+        if self.drained_for(drain) < drain.spans.moves {
             return;
         }
         for (id, place) in self.ledger.places() {
@@ -132,7 +176,7 @@
                 && self.shown.openings() == 0
                 && self.connections.load(Ordering::Relaxed) == 0
         };
-        left_for >= LEAVE_MOST || left_for >= LEAVE_LEAST && is_empty()
+        left_for >= drain.spans.left || left_for >= LEAVE_LEAST && is_empty()
     }
 }
 
--- a/balancer/src/core/lifecycle.rs
+++ b/balancer/src/core/lifecycle.rs
@@ -5,7 +5,7 @@
 
 use std::fmt;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 /// A core that has not turned for so long is not at work. It turns at least once a second.
@@ -114,6 +114,8 @@
     origin: Instant,
     /// Clients whose openings have not been heard out, as the listener's thread tells.
     openings: AtomicUsize,
+    /// Nobody is heard out any more: the program is about to be gone.
+    hears_nobody: AtomicBool,
 }
 
 impl Default for Shown {
@@ -125,7 +127,8 @@
 impl Shown {
     fn since(origin: Instant) -> Shown {
         let (state, turned_at) = (AtomicU8::new(State::Starting as u8), AtomicU64::new(0));
-        Shown(Arc::new(Face { state, turned_at, origin, openings: AtomicUsize::new(0) }))
+        let (openings, hears_nobody) = (AtomicUsize::new(0), AtomicBool::new(false));
+        Shown(Arc::new(Face { state, turned_at, origin, openings, hears_nobody }))
     }
 
     /// So many clients have not been heard out.
@@ -133,6 +136,16 @@
         self.0.openings.store(count, Ordering::SeqCst);
     }
 
+    /// Clients that have not been heard out are let go from now on.
+    pub fn hears_nobody(&self) {
+        self.0.hears_nobody.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether clients are still heard out.
+    pub fn hears_openings(&self) -> bool {
+        !self.0.hears_nobody.load(Ordering::SeqCst)
+    }
+
     /// How many clients have not been heard out.
     pub fn openings(&self) -> usize {
         self.0.openings.load(Ordering::SeqCst)
--- a/balancer/src/stages/take_in.rs
+++ b/balancer/src/stages/take_in.rs
@@ -27,6 +27,10 @@
 /// A client is not let go for a newcomer before it has had so long to speak. Guards against a site's clients that
 /// all come at once and would push one another out; the newcomers wait to be accepted instead.
 const HEARING: Duration = Duration::from_millis(100);
+/// While clients wait to be heard out, the listener's thread looks this often whether it is to let them go.
+const LOOK: Duration = Duration::from_millis(200);
+/// The same, while the program leaves.
+const LEAVING_LOOK: Duration = Duration::from_millis(20);
 /// Clients accepted in one turn, so that those accepted before are heard in between.
 const BATCH: usize = 32;
 /// A client that was refused is kept for so long, unread, so that its answer is not lost to a reset.
@@ -120,7 +124,13 @@
         let heard = |waiting: &Waiting| if has_room { waiting.until } else { waiting.since + HEARING };
         let next = self.waiting.iter().map(heard).min();
         let left = next.map(|until| until.saturating_duration_since(Instant::now()));
-        left.unwrap_or(Duration::from_secs(1)).max(Duration::from_millis(1)).min(Duration::from_secs(1))
+        let left = left.unwrap_or(Duration::from_secs(1)).max(Duration::from_millis(1));
+        let leaves = self.core.shown().state() == State::Leaving;
+        left.min(match (self.waiting.is_empty(), leaves) {
+            (true, _) => Duration::from_secs(1),
+            (false, true) => LEAVING_LOOK,
+            (false, false) => LOOK,
+        })
     }
 
     fn budget(&self) -> (usize, usize) {
@@ -249,7 +259,9 @@
     fn let_go(&mut self) {
         let now = Instant::now();
         self.waiting.retain(|waiting| !waiting.refused || now < waiting.until);
-        for waiting in self.waiting.iter_mut().filter(|waiting| now >= waiting.until) {
+        let hears = self.core.shown().hears_openings();
+        let is_over = |waiting: &&mut Waiting| !waiting.refused && (!hears || now >= waiting.until);
+        for waiting in self.waiting.iter_mut().filter(is_over) {
             if waiting.spoke && waiting.intake.bytes().is_empty() {
                 // The check that a balancer lives, kept open: it ends without a word.
                 waiting.refuse(&[]);
