The next call to discovery begins within 5 s of the last that was heard of it

Cause: a failed call was repeated within half of what the settings give for asking, counted from the failure. A call that waited for 2.5 s and ended in 503, or a connection that did not come up for 1 s, had its time added on top; and where the settings give 30 s or nothing for asking, the wait went up to 15 s or the longest deadline. A change counts as told 6 s after discovery had it and could be reached, whatever became of a call. Besides: a list that comes byte by byte kept a watch alive for ever, since only single reads were bounded; and a panic in a watch ended its thread, after which no change was ever heard.

Ruled out: the head of an answer is bounded as a whole by the client.

Change: the watch tells with a failure for how long nothing whole had been heard (farm/reading.rs), and the module takes that off one clock of 5 s (LIST_CLOCK), also where lists are pushed; the last second is for the next call. It replaces the bound for silence alone, which it gives too: 3.5 s and 1.5 s. A list is whole 3.5 s after its first byte or the watch is broken. A panic in a watch is a failure. ListKind's Failed and Silent carry that time; existing tests of the module pass it, nothing else of them is changed.

--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -231,7 +231,7 @@
         "delta" => ListKind::Changes,
         "full" => ListKind::Full,
         "cached" => ListKind::Cached,
-        "failed" => return Ok(Event::List { kind: ListKind::Failed, entries: Vec::new() }),
+        "failed" => return Ok(Event::List { kind: ListKind::Failed(0), entries: Vec::new() }),
         other => return Err(format!("unknown mode {other:?}")),
     };
     let number = need(message.list, "list")?;
--- a/balancer/src/core/fleet.rs
+++ b/balancer/src/core/fleet.rs
@@ -326,7 +326,7 @@
         }
         core.take(Event::Ended(3, Outcome::Reset, Duration::from_millis(900)));
         core.take(Event::Ended(8, Outcome::ConnectFailed, Duration::from_millis(2)));
-        core.take(Event::Farm(News::Failed));
+        core.take(Event::Farm(News::Failed(Duration::ZERO)));
         core.take(Event::Left(9));
         (orders.words(), core)
     }
--- a/balancer/src/core/mod.rs
+++ b/balancer/src/core/mod.rs
@@ -171,8 +171,8 @@
                 }
             }
             Event::Farm(News::List(list)) => self.take_list(list, false),
-            Event::Farm(News::Failed) => self.list_is_out(api::ListKind::Failed),
-            Event::Farm(News::Silent) => self.list_is_out(api::ListKind::Silent),
+            Event::Farm(News::Failed(quiet)) => self.list_is_out(api::ListKind::Failed(nanos(quiet))),
+            Event::Farm(News::Silent(quiet)) => self.list_is_out(api::ListKind::Silent(nanos(quiet))),
             Event::Probed(server, answer) => {
                 debug!(part = self.name, server = server.0, ?answer, "probed");
                 let load = match answer {
--- a/balancer/src/farm.rs
+++ b/balancer/src/farm.rs
@@ -1,8 +1,12 @@
 //! The farm: discovery's list of application servers, and the watch on its changes.
 
-use std::cell::Cell;
-use std::io::{self, BufReader, Read};
+mod reading;
+#[cfg(test)]
+mod tests;
+
+use std::io;
 use std::net::SocketAddr;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -12,6 +16,8 @@
 use ureq::http::StatusCode;
 use ureq::{Agent, Body};
 
+use reading::Hearing;
+
 /// A connection to discovery that is not up by then counts as failed.
 const CONNECT_PATIENCE: Duration = Duration::from_secs(1);
 /// Discovery sends an empty line every 2 s; without one for so long the watch is dead. Guards against a watch
@@ -20,8 +26,6 @@
 /// An agent on this machine answers at once; one that does not hears nothing from discovery either. Guards against a
 /// wait on an answer that is not coming while the next one would: what the agent hears counts as told at once.
 const AGENT_SILENCE: Duration = Duration::from_millis(100);
-/// Longest list, so that a peer gone wrong costs no more memory than this.
-const LONGEST_LIST: u64 = 4 << 20;
 /// Longest head of an answer.
 const LONGEST_HEAD: usize = 8 << 10;
 /// What is read of an answer at once, and what a call is written into. A process holds one of each.
@@ -90,10 +94,10 @@
 pub enum News {
     /// A list, whole or of changes.
     List(List),
-    /// The watch could not be had, or it ended; the old list holds.
-    Failed,
-    /// The call or the watch fell silent and was broken; the old list holds.
-    Silent,
+    /// The watch could not be had, or it ended, and nothing had been heard of it for so long; the old list holds.
+    Failed(Duration),
+    /// The call or the watch fell silent and was broken after so long; the old list holds.
+    Silent(Duration),
 }
 
 /// Where discovery is to be found, shared with whoever moves it.
@@ -174,8 +178,7 @@
     pub fn run(mut self, tell: impl Fn(News)) {
         let mut seen = 0;
         while self.asks.recv().is_ok() {
-            let mut ended;
-            loop {
+            let ended = loop {
                 let (discovery, moves) = {
                     let aim = self.target.aim();
                     (aim.discovery, aim.moves)
@@ -184,23 +187,37 @@
                     // Guards against another service that counts its versions anew: the whole list is asked for.
                     (seen, self.generation) = (moves, 0);
                 }
-                ended = self.watch(discovery, moves, &tell);
+                let ended = self.watch_once(discovery, moves, &tell);
                 // Asks that came while a watch stood are answered by its end.
                 while self.asks.try_recv().is_ok() {}
-                if self.target.aim().moves != seen {
-                    continue;
+                if self.target.aim().moves == seen {
+                    break ended;
                 }
-                break;
-            }
-            let why = ended.err();
-            if let Some(error) = &why {
-                warn!(part = "farm", why = %error, "watch ended");
-            }
-            tell(if why.as_ref().is_some_and(is_silence) { News::Silent } else { News::Failed });
+            };
+            tell(ended);
         }
     }
 
-    fn watch(&mut self, discovery: SocketAddr, moves: u64, tell: &impl Fn(News)) -> io::Result<()> {
+    /// One watch from its call to its end, and how it ended. A panic is a failure like others. Guards against a thread
+    /// that is gone while the program serves on, and hears of no change any more.
+    fn watch_once(&mut self, discovery: SocketAddr, moves: u64, tell: &impl Fn(News)) -> News {
+        let hearing = Hearing::begin();
+        let watch = AssertUnwindSafe(|| self.watch(discovery, moves, &hearing, tell));
+        let ended = catch_unwind(watch).unwrap_or_else(|_| Err(io::Error::other("the watch panicked")));
+        self.target.aim().watch = None;
+        let quiet = hearing.quiet();
+        let Err(error) = ended else { return News::Failed(quiet) };
+        warn!(part = "farm", why = %error, ?quiet, "watch ended");
+        if is_silence(&error) { News::Silent(quiet) } else { News::Failed(quiet) }
+    }
+
+    fn watch(
+        &mut self,
+        discovery: SocketAddr,
+        moves: u64,
+        hearing: &Hearing,
+        tell: &impl Fn(News),
+    ) -> io::Result<()> {
         let client = self.client();
         {
             let mut aim = self.target.aim();
@@ -210,9 +227,7 @@
             // Before it connects: whoever moves discovery ends the call wherever it is.
             aim.watch = Some(client.clone());
         }
-        let ended = self.follow(&client, discovery, tell);
-        self.target.aim().watch = None;
-        ended
+        self.follow(&client, discovery, hearing, tell)
     }
 
     /// A client for one watch, on this thread alone: addresses are not looked up, connections are not kept.
@@ -233,16 +248,21 @@
         config.build().new_agent()
     }
 
-    fn follow(&mut self, client: &Agent, discovery: SocketAddr, tell: &impl Fn(News)) -> io::Result<()> {
+    fn follow(
+        &mut self,
+        client: &Agent,
+        discovery: SocketAddr,
+        hearing: &Hearing,
+        tell: &impl Fn(News),
+    ) -> io::Result<()> {
         let from = self.generation;
         let body = ask(client, discovery, from)?;
         info!(part = "farm", %discovery, from, "watch stands");
-        let read = Cell::new(0);
-        let lists = Bounded { from: body.into_reader(), read: &read, failed: false };
+        let lists = reading::lists_of(body.into_reader(), hearing);
         // Lists may be indented over many lines, and a chunk may end anywhere: values are read, not lines.
-        for list in serde_json::Deserializer::from_reader(BufReader::new(lists)).into_iter::<List>() {
+        for list in serde_json::Deserializer::from_reader(lists).into_iter::<List>() {
             let list = list?;
-            read.set(0);
+            hearing.list_ended();
             if !list.reset && list.generation < self.generation {
                 // Guards against late changes that would bring back what a newer version has taken away. A whole list
                 // is taken whatever its version: discovery counts anew.
@@ -259,6 +279,9 @@
 
 /// Whether a call that was taken, or a watch that stood, was waited for in vain.
 fn is_silence(error: &io::Error) -> bool {
+    if error.kind() == io::ErrorKind::TimedOut {
+        return true;
+    }
     let error = error.get_ref().and_then(|error| error.downcast_ref());
     matches!(error, Some(ureq::Error::Timeout(part)) if *part != ureq::Timeout::Connect)
 }
@@ -277,32 +300,3 @@
     }
     Ok(answer.into_body())
 }
-
-/// What is read of one list, which is bounded, white space too: a text without an end may be all blanks. The empty lines
-/// that come while nothing changes count for the next list, and reach the bound after months.
-///
-/// After a failed read there is none. Guards against a parser that reads on after it: it looks for the end of each
-/// object and array that stands open, and a watch that falls silent inside an entry would be waited for again and again.
-struct Bounded<'a, R> {
-    from: R,
-    read: &'a Cell<u64>,
-    failed: bool,
-}
-
-impl<R: Read> Read for Bounded<'_, R> {
-    fn read(&mut self, into: &mut [u8]) -> io::Result<usize> {
-        if self.failed {
-            return Err(io::Error::other("the watch is over"));
-        }
-        let count = self.from.read(into).inspect_err(|_| self.failed = true)?;
-        self.read.set(self.read.get() + count as u64);
-        if self.read.get() > LONGEST_LIST {
-            self.failed = true;
-            return Err(io::Error::other("a list without an end"));
-        }
-        Ok(count)
-    }
-}
-
-#[cfg(test)]
-mod tests;
--- a/balancer/src/farm/tests.rs
+++ b/balancer/src/farm/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the watch, with a discovery that they play.
 
-use std::io::{BufRead, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
 
 use super::*;
@@ -49,8 +49,8 @@
 #[test]
 fn a_list_without_an_end_is_an_error_also_where_it_is_all_blanks() {
     for byte in *b" x" {
-        let (begun, read) = (&b"{\"more\":\""[..], Cell::new(0));
-        let from = Bounded { from: begun.chain(io::repeat(byte)), read: &read, failed: false };
+        let (begun, hearing) = (&b"{\"more\":\""[..], Hearing::begin());
+        let from = reading::lists_of(begun.chain(io::repeat(byte)), &hearing);
         assert!(List::deserialize(&mut serde_json::Deserializer::from_reader(from)).is_err());
     }
 }
@@ -63,7 +63,7 @@
     std::thread::spawn(move || watcher.of_agent().run(|list| drop(told.send(list))));
     // Discovery is down: the agent says nothing, and is asked anew when the module says so.
     let silent = asked(&listener);
-    assert!(matches!(news.recv_timeout(SILENCE / 2), Ok(News::Silent)), "long before a watch is given up");
+    assert!(matches!(news.recv_timeout(SILENCE / 2), Ok(News::Silent(_))), "long before a watch is given up");
     ask.send(()).expect("it listens");
     let mut stream = asked(&listener);
     drop(silent);
@@ -73,7 +73,7 @@
     // Half an entry, and silence from then on: one wait, however deep the parser is.
     say(&mut stream, "{\"instances\":[{\"instanceId\":");
     assert!(
-        matches!(news.recv_timeout(SILENCE * 3 / 2), Ok(News::Silent)),
+        matches!(news.recv_timeout(SILENCE * 3 / 2), Ok(News::Silent(_))),
         "it ends once it is found silent"
     );
 }
@@ -144,6 +144,109 @@
             // What had come whole before the fault.
             ended = news.recv_timeout(SILENCE / 2);
         }
-        assert!(matches!(ended, Ok(News::Failed)), "{spoilt:?}: long before it is given up as silent");
+        assert!(matches!(ended, Ok(News::Failed(_))), "{spoilt:?}: long before it is given up as silent");
     }
 }
+
+/// A watcher of that discovery that has been asked once: what it tells, and the end that asks it again.
+fn watches(discovery: SocketAddr) -> (Receiver<News>, Sender<()>) {
+    let (watcher, ask) = Watcher::new(discovery, 0);
+    let (told, news) = unbounded();
+    std::thread::spawn(move || watcher.run(|list| drop(told.send(list))));
+    ask.send(()).expect("it listens");
+    (news, ask)
+}
+
+/// Sends byte after byte, none of them long after the one before, until nobody takes them.
+fn trickle(mut stream: TcpStream, bytes: impl Iterator<Item = Vec<u8>>) {
+    for piece in bytes {
+        if stream.write_all(&piece).is_err() {
+            return;
+        }
+        std::thread::sleep(SILENCE / 20);
+    }
+}
+
+#[test]
+fn a_list_that_comes_byte_by_byte_and_never_ends_is_silence_from_its_beginning() {
+    let (mut stream, news) = stands();
+    say(&mut stream, "\n");
+    say(&mut stream, "{\"generation\":");
+    let blanks = std::iter::repeat_with(|| b"1\r\n \r\n".to_vec());
+    std::thread::spawn(move || trickle(stream, blanks));
+    let told = news.recv_timeout(SILENCE * 3 / 2);
+    assert!(matches!(told, Ok(News::Silent(quiet)) if quiet >= SILENCE), "{told:?}");
+}
+
+#[test]
+fn a_head_that_comes_byte_by_byte_and_never_ends_is_silence_from_the_call() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback");
+    let (news, _ask) = watches(listener.local_addr().expect("bound"));
+    let mut stream = asked(&listener);
+    stream.write_all(b"HTTP/1.1 200 OK\r\nX: ").expect("open");
+    std::thread::spawn(move || trickle(stream, std::iter::repeat_with(|| b"x".to_vec())));
+    let told = news.recv_timeout(SILENCE * 3 / 2);
+    assert!(matches!(told, Ok(News::Silent(quiet)) if quiet >= SILENCE), "{told:?}");
+}
+
+#[test]
+fn a_failure_that_is_known_late_is_told_with_the_time_that_it_took() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback");
+    let discovery = listener.local_addr().expect("bound");
+    let (news, ask) = watches(discovery);
+    let late = Duration::from_millis(300);
+    // Refused after a while.
+    let mut stream = asked(&listener);
+    std::thread::sleep(late);
+    stream.write_all(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n").expect("open");
+    let told = news.recv_timeout(LONG);
+    assert!(matches!(told, Ok(News::Failed(quiet)) if quiet >= late), "{told:?}");
+    // Broken off a while after the last that was heard.
+    ask.send(()).expect("it listens");
+    let mut stream = asked(&listener);
+    stream.write_all(HEAD).expect("open");
+    say(&mut stream, "{\"generation\":4}\n");
+    assert!(matches!(news.recv_timeout(LONG), Ok(News::List(_))));
+    std::thread::sleep(late);
+    drop(stream);
+    let told = news.recv_timeout(LONG);
+    assert!(matches!(told, Ok(News::Failed(quiet)) if quiet >= late), "{told:?}");
+}
+
+#[test]
+fn a_connection_that_never_comes_up_fails_and_takes_its_part_of_the_time() {
+    // One place in its line, which is taken.
+    let full = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    full.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("loopback");
+    full.listen(0).expect("bound");
+    let full = std::net::TcpListener::from(full);
+    let at = full.local_addr().expect("bound");
+    let short = Duration::from_millis(100);
+    let _line: Vec<TcpStream> = std::iter::from_fn(|| TcpStream::connect_timeout(&at, short).ok()).collect();
+    let (news, _ask) = watches(at);
+    let told = news.recv_timeout(LONG);
+    assert!(matches!(told, Ok(News::Failed(quiet)) if quiet >= CONNECT_PATIENCE * 9 / 10), "{told:?}");
+}
+
+#[test]
+fn a_panic_in_a_watch_is_a_failure_and_the_next_ask_is_served() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback");
+    let (watcher, ask) = Watcher::new(listener.local_addr().expect("bound"), 0);
+    let (told, news) = unbounded();
+    std::thread::spawn(move || {
+        watcher.run(|news| {
+            assert!(!matches!(news, News::List(List { generation: 13, .. })), "the fault that is played");
+            drop(told.send(news));
+        });
+    });
+    ask.send(()).expect("it listens");
+    let mut stream = asked(&listener);
+    stream.write_all(HEAD).expect("open");
+    say(&mut stream, "{\"generation\":13}\n");
+    assert!(matches!(news.recv_timeout(LONG), Ok(News::Failed(_))));
+    ask.send(()).expect("it listens");
+    let mut stream = asked(&listener);
+    stream.write_all(HEAD).expect("open");
+    say(&mut stream, "{\"generation\":14}\n");
+    assert!(matches!(news.recv_timeout(LONG), Ok(News::List(List { generation: 14, .. }))));
+}
--- a/cli/tests/discovery.rs
+++ b/cli/tests/discovery.rs
@@ -279,3 +279,36 @@
     tell(&mut watch, 2, true, &[("s0", at(&server), "SERVING")]);
     program.says("generation=2 kind=Full");
 }
+
+#[test]
+fn a_call_that_fails_late_is_repeated_before_what_it_would_tell_counts_as_told() {
+    /// Discovery had the change when the call came, and could be reached.
+    const WAITS: Duration = Duration::from_millis(2_500);
+    // Where the settings give much time for asking, or none at all.
+    let given = ["30000000000", "0"];
+    std::thread::scope(|scope| {
+        for (number, given) in (0..8).zip(given.into_iter().cycle()) {
+            scope.spawn(move || {
+                let (discovery, server) = (listener(), listener());
+                let settings = patient()
+                    .replace("\"balancers\":1,", "\"balancers\":300,")
+                    .replace("\"ask-within-ns\":10000000000", &format!("\"ask-within-ns\":{given}"));
+                let known = [("s0", at(&server), "SERVING")];
+                let config = config(free(), at(&discovery), &list(1, true, &known), &settings, 256);
+                // Each draws its own delay.
+                let config = config.replace("\"seed\":\"7\"", &format!("\"seed\":\"{number}\""));
+                let path = file(&format!("late{number}"), &config);
+                let program = Program::start(&[], &[("LB_CONFIG", path.as_str())]);
+                let mut call = asked(&discovery);
+                let changed = Instant::now();
+                std::thread::sleep(WAITS);
+                call.say("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+                let mut watch = asked(&discovery);
+                watch.say(HEAD);
+                tell(&mut watch, 2, false, &[("s0", at(&server), "DRAINING")]);
+                program.says("generation=2 kind=Changes");
+                assert!(changed.elapsed() < SILENT, "{given}: {:?}", changed.elapsed());
+            });
+        }
+    });
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -258,10 +258,10 @@
     Full,
     /// The list as this gateway last had it before it restarted.
     Cached,
-    /// A call failed or the subscription broke; the old list holds.
-    Failed,
-    /// A call or a subscription fell silent and was broken; the old list holds.
-    Silent,
+    /// A call failed or the subscription broke, and had said nothing for so long before; the old list holds.
+    Failed(Nanos),
+    /// A call or a subscription fell silent and was broken after so long; the old list holds.
+    Silent(Nanos),
 }
 
 /// The one server that an operator wants a request at.
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -10,9 +10,10 @@
 const LIST_CALL: Nanos = 100_000_000;
 /// Longest wait before a list's agent on the own machine is asked again, in nanoseconds.
 pub(crate) const AGENT_WAIT: Nanos = 50_000_000;
-/// Longest wait before what fell silent is asked anew, in nanoseconds. What it misses counts as told 6 s after it fell
-/// silent; it was found out after 3.5 s.
-pub(crate) const SILENT_WAIT: Nanos = 1_500_000_000;
+/// Longest time from the last that was heard of discovery, or from the beginning of a call that failed, to the beginning
+/// of the next call, in nanoseconds. A change counts as told 6 s after discovery had it and could be reached, whatever
+/// became of a call; the rest is for the next call's connection and answer.
+pub(crate) const LIST_CLOCK: Nanos = 5_000_000_000;
 /// Parts of what tips cold servers that they are sent: by what stands on warm ones, and by the new clients that the
 /// farm bears. Both count less than a farm can do, which usually bears half of it and warms sooner than the rules say:
 /// on days of the large fleet what tipped servers over was six times the first, by what usually stood, and more.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -7,7 +7,7 @@
 use rand_pcg::Pcg32;
 
 use crate::api::*;
-use crate::fleet::{AGENT_WAIT, SILENT_WAIT, warmth};
+use crate::fleet::{AGENT_WAIT, LIST_CLOCK, warmth};
 use crate::span::part;
 use crate::state::{Books, Due, Faults, Mean, Request, Server, Tally};
 
@@ -110,7 +110,7 @@
             let first = self.rng.random_range(1..=HOUSEKEEPING);
             self.wake(first, Due::Housekeeping, out);
             if self.settings.discovery == Discovery::Asked {
-                self.ask_list(ListKind::Cached, out);
+                self.ask_list(0, out);
             }
         }
         match event {
@@ -150,9 +150,9 @@
     // ---- the server list ----
 
     fn on_list(&mut self, now: Nanos, kind: ListKind, entries: Vec<Entry>, out: &mut Vec<Action>) {
-        if matches!(kind, ListKind::Failed | ListKind::Silent) {
-            self.tally.list_failures += u32::from(kind == ListKind::Failed);
-            return self.ask_list(kind, out);
+        if let ListKind::Failed(quiet) | ListKind::Silent(quiet) = kind {
+            self.tally.list_failures += u32::from(matches!(kind, ListKind::Failed(_)));
+            return self.ask_list(quiet, out);
         }
         if kind != ListKind::Cached {
             self.tally.list_failures = 0;
@@ -173,12 +173,12 @@
         }
     }
 
-    /// Asks for the list, after a jittered delay if a call failed or many may call at once. Guards against a
-    /// herd whose calls fail and come again together, and against one so late that old word counts as told.
-    fn ask_list(&mut self, after: ListKind, out: &mut Vec<Action>) {
+    /// Asks for the list, after a jittered delay if a call failed or many may call at once. Guards against a herd whose
+    /// calls fail and come again together, and one so late, after `quiet`, that what it would tell counts as told.
+    fn ask_list(&mut self, quiet: Nanos, out: &mut Vec<Action>) {
         let asked = self.settings.rules.ask_within.checked_sub(1).map_or(Nanos::MAX, |within| within / 2);
         let usual = if self.settings.discovery == Discovery::Pushed { AGENT_WAIT } else { asked };
-        let within = if after == ListKind::Silent { usual.min(SILENT_WAIT) } else { usual };
+        let within = usual.min(LIST_CLOCK.saturating_sub(quiet).max(AGENT_WAIT));
         let (n, cap) = (self.tally.list_failures, self.settings.longest_deadline().min(within));
         let wait = match (n, self.tally.fleet.herd(within)) {
             (0, 0) => return out.push(Action::Watch),
--- a/tests/herd.rs
+++ b/tests/herd.rs
@@ -137,7 +137,7 @@
 fn a_call_that_failed_is_repeated_by_a_herd_over_a_span_and_not_at_once() {
     let first_repeat = |gateways, seed| {
         let (mut balancer, mut out) = (started(gateways, seed).0, Vec::new());
-        balancer.handle(SECOND, Event::List { kind: ListKind::Failed, entries: Vec::new() }, &mut out);
+        balancer.handle(SECOND, Event::List { kind: ListKind::Failed(0), entries: Vec::new() }, &mut out);
         let wakes = out.iter().find_map(|action| match action {
             Action::Wake { after, .. } => Some(*after),
             _ => None,
@@ -153,7 +153,11 @@
 fn a_watch_that_fell_silent_is_asked_for_anew_in_time_by_each_of_hundreds_and_not_by_all_at_once() {
     let asks_after = |gateways, seed| {
         let (mut balancer, mut out) = (started(gateways, seed).0, Vec::new());
-        balancer.handle(SECOND, Event::List { kind: ListKind::Silent, entries: Vec::new() }, &mut out);
+        balancer.handle(
+            SECOND,
+            Event::List { kind: ListKind::Silent(3_500 * MS), entries: Vec::new() },
+            &mut out,
+        );
         let wait = |action: &Action| match action {
             Action::Watch => Some(0),
             Action::Wake { after, .. } => Some(*after),
@@ -239,7 +243,9 @@
                     listed[which] = Some(now);
                     Event::List { kind: ListKind::Full, entries: vec![entry(0)] }
                 }
-                Comes::Answer(false) => Event::List { kind: ListKind::Failed, entries: Vec::new() },
+                Comes::Answer(false) => {
+                    Event::List { kind: ListKind::Failed(Queue::PATIENCE), entries: Vec::new() }
+                }
             };
             next.push((now, which, event));
         }
@@ -314,3 +320,46 @@
         "{live} to the cold one, {fixed} where its weight is taken for its size"
     );
 }
+
+/// How long a gateway that has just been told this waits until it asks for the list.
+fn asks_after(balancer: &mut beaconflow::Balancer, kind: ListKind) -> Nanos {
+    let mut out = Vec::new();
+    balancer.handle(SECOND, Event::List { kind, entries: Vec::new() }, &mut out);
+    let wait = |action: &Action| match action {
+        Action::Watch => Some(0),
+        Action::Wake { after, .. } => Some(*after),
+        _ => None,
+    };
+    out.iter().find_map(wait).expect("it asks again")
+}
+
+#[test]
+fn whatever_became_of_a_call_the_next_one_begins_in_time_for_what_it_would_tell() {
+    /// A change counts as told 6 s after discovery had it; the call's connection and answer have the last second.
+    const CLOCK: Nanos = 5 * SECOND;
+    /// However late a failure is known, the calls of one gateway are not made back to back.
+    const LEAST: Nanos = 50 * MS;
+    let quiet = [0, 100 * MS, SECOND, 2 * SECOND, 3_400 * MS, 3_500 * MS, 4_900 * MS, 5 * SECOND, 9 * SECOND];
+    for (discovery, gateways) in [(Discovery::Asked, 1), (Discovery::Asked, 30), (Discovery::Pushed, 300)]
+        .into_iter()
+        .chain([2, 3, 4, 50, 100, 300].map(|gateways| (Discovery::Asked, gateways)))
+    {
+        for ask_within in [0, 1, 2, 100 * MS, 2 * SECOND, 10 * SECOND, 30 * SECOND, Nanos::MAX] {
+            let mut settings = Settings { gateways, discovery, ..settings() };
+            settings.rules.ask_within = ask_within;
+            settings.classes.iter_mut().for_each(|class| class.deadline = 100 * SECOND);
+            for (seed, quiet) in (0..).zip(quiet) {
+                let mut balancer = beaconflow::Balancer::new(settings.clone(), seed).expect("sound");
+                let first = Event::List { kind: ListKind::Cached, entries: vec![entry(0)] };
+                balancer.handle(SECOND, first, &mut Vec::new());
+                let fails = std::iter::repeat_n(ListKind::Failed(quiet), 20);
+                let falls_silent = std::iter::repeat_n(ListKind::Silent(quiet), 20);
+                for kind in fails.chain(falls_silent) {
+                    let wait = asks_after(&mut balancer, kind);
+                    let most = CLOCK.saturating_sub(quiet).max(LEAST);
+                    assert!(wait <= most, "{gateways} gateways, {ask_within}, {kind:?}: {wait}");
+                }
+            }
+        }
+    }
+}
--- a/tests/list.rs
+++ b/tests/list.rs
@@ -18,7 +18,7 @@
         balancer.handle(0, Event::List { kind: ListKind::Cached, entries: vec![entry(0)] }, &mut actions);
         assert!(actions.contains(&Action::Watch));
         actions.clear();
-        balancer.handle(1, Event::List { kind: ListKind::Failed, entries: Vec::new() }, &mut actions);
+        balancer.handle(1, Event::List { kind: ListKind::Failed(0), entries: Vec::new() }, &mut actions);
         let [Action::Wake { after, timer }] = actions[..] else { panic!("{actions:?}") };
         waits.insert(after);
         actions.clear();
@@ -31,7 +31,7 @@
 #[test]
 fn a_failed_call_keeps_the_old_list() {
     let mut gateway = Gateway::with_servers(asked(), 2);
-    gateway.list(ListKind::Failed, Vec::new());
+    gateway.list(ListKind::Failed(0), Vec::new());
     assert_eq!(attempts(&gateway.arrive(1, SAFE)).len(), 1);
 }
 
@@ -172,7 +172,7 @@
     let mut gateway = Gateway::with_servers(slow, 1);
     for _ in 0..30 {
         let known = gateway.timers.len();
-        gateway.list(ListKind::Failed, Vec::new());
+        gateway.list(ListKind::Failed(0), Vec::new());
         let (due, _) = gateway.timers[known];
         assert!(due - gateway.now <= 5 * SECOND);
     }
--- a/tests/robustness.rs
+++ b/tests/robustness.rs
@@ -93,5 +93,5 @@
     gateway.arrive(1, SAFE);
     gateway.end(1, 0, Outcome::Full);
     gateway.pass(3 * SECOND);
-    gateway.list(ListKind::Failed, Vec::new());
+    gateway.list(ListKind::Failed(0), Vec::new());
 }
