What discovery says goes ahead of the events that wait for the core

Cause: a list was taken in its turn behind all that the core had been told before. A server that drains was sent to for as long, and a drain counts from the moment at which it was told, with as little as 150 ms of grace. Besides: while a whole list was read, each server's mark said for a moment that it was gone, so that a pass just about to write was withheld for nothing; and a module that panicked while a call to an agent was due lost that call with its timers, after which nobody asked again.

Change: what is told of the farm has a channel of its own, which the core empties before each event and timer; it stays the only one who sets the marks. Marks of servers left out of a whole list are set once the list has been read. After a panic of the module an agent is asked at once.

--- a/balancer/src/core/events.rs
+++ b/balancer/src/core/events.rs
@@ -62,8 +62,10 @@
     Left(u64),
     /// The connection's thread panicked; the client has been answered.
     Lost(u64),
-    /// News of the farm.
+    /// News of the farm. It goes ahead of the events that were told before it.
     Farm(News),
+    /// News of the farm has been told, and has been taken by the time that this is.
+    FarmTold,
     /// What a server said of its load; nothing if it did not answer.
     Probed(ServerId, Option<LoadAnswer>),
     /// A word on what the program is to be at; the answer is given once it holds.
--- a/balancer/src/core/farm.rs
+++ b/balancer/src/core/farm.rs
@@ -140,8 +140,8 @@
         zone: impl Fn(&str) -> Option<u32>,
     ) -> Vec<Entry> {
         if list.reset {
+            // The marks follow below. Guards against a pass that finds its server gone for as long as the list is read.
             for known in &mut self.known {
-                known.server.mark.leaving.store(true, Ordering::SeqCst);
                 (known.listed.state, known.told.state) = (State::Gone, State::Gone);
             }
         }
@@ -150,7 +150,10 @@
             list.instances.into_iter().filter_map(|listed| self.enter(listed, now, &zone)).collect();
         if reset {
             let gone = self.known.iter_mut().filter(|known| known.told.state == State::Gone);
-            gone.for_each(|known| known.ready_since = None);
+            gone.for_each(|known| {
+                known.server.mark.leaving.store(true, Ordering::SeqCst);
+                known.ready_since = None;
+            });
         }
         entries
     }
--- a/balancer/src/core/handle.rs
+++ b/balancer/src/core/handle.rs
@@ -4,16 +4,17 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use crossbeam_channel::Sender;
+use crossbeam_channel::{Receiver, Sender, unbounded};
 
 use super::lifecycle::Shown;
 use super::{Carrier, DoorLook, Event, Look, Opening};
 use crate::clock::Clock;
+use crate::farm::News;
 
 /// The way to the core.
 #[derive(Clone)]
 pub struct Handle {
-    pub(super) events: Sender<Event>,
+    pub(super) told: Outbox,
     pub(super) next: Arc<AtomicU64>,
     /// Open connections, also those that have had their answer and linger.
     pub(super) connections: Arc<AtomicUsize>,
@@ -23,6 +24,25 @@
     pub(super) slow: Duration,
 }
 
+/// The sending ends of what the core hears.
+#[derive(Clone)]
+pub(super) struct Outbox {
+    events: Sender<Event>,
+    farm: Sender<News>,
+}
+
+/// What the core hears: events in their order, and what is told of the farm, which goes ahead of them.
+pub(super) struct Inbox {
+    pub(super) events: Receiver<Event>,
+    pub(super) farm: Receiver<News>,
+}
+
+/// Both ends.
+pub(super) fn boxes() -> (Outbox, Inbox) {
+    let ((events, heard), (farm, listed)) = (unbounded(), unbounded());
+    (Outbox { events, farm }, Inbox { events: heard, farm: listed })
+}
+
 /// Counts one connection for as long as it lives.
 pub struct Counted(Arc<AtomicUsize>);
 
@@ -49,7 +69,14 @@
 
     /// Tells the core. Once the core is gone, nothing is left to be told.
     pub fn tell(&self, event: Event) {
-        let _ = self.events.send(event);
+        let event = match event {
+            Event::Farm(news) => {
+                let _ = self.told.farm.send(news);
+                Event::FarmTold
+            }
+            other => other,
+        };
+        let _ = self.told.events.send(event);
     }
 
     /// The clock of the program.
--- a/balancer/src/core/mod.rs
+++ b/balancer/src/core/mod.rs
@@ -19,6 +19,8 @@
 #[cfg(test)]
 mod testing;
 mod ties;
+#[cfg(test)]
+mod turns;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -31,7 +33,7 @@
 use beaconflow_admission::Miss;
 use beaconflow_overrides::{Id, Judgement, Pace};
 use beaconflow_settings::Setup;
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
+use crossbeam_channel::{RecvTimeoutError, Sender};
 use tracing::debug;
 
 use door::Gate;
@@ -42,6 +44,7 @@
 pub use farm::{ApplicationServer, Mark, ServerLook, SitePart};
 use fleet::Bond;
 pub use fleet::{KnownNews, Seen, Tie, Witness};
+use handle::Inbox;
 pub use handle::{Counted, Handle};
 pub use ledger::Counts;
 use ledger::Ledger;
@@ -129,29 +132,48 @@
 }
 
 impl Core {
-    fn run(&mut self, inbox: &Receiver<Event>) {
+    fn run(&mut self, inbox: &Inbox) {
         self.wake(COUNTS_PERIOD, Due::Counts);
         self.wake(SHARES_PERIOD, Due::Shares);
-        loop {
-            let due = self.timers.peek().map(|Reverse((at, ..))| self.clock.instant(*at));
-            let event = match due {
-                Some(due) if due <= Instant::now() => Err(RecvTimeoutError::Timeout),
-                Some(due) => inbox.recv_deadline(due),
-                None => inbox.recv().map_err(|_| RecvTimeoutError::Disconnected),
-            };
-            match event {
-                Ok(event) => self.take(event),
-                Err(RecvTimeoutError::Timeout) => self.fire(),
-                Err(RecvTimeoutError::Disconnected) => return,
-            }
-            // Guards against timers that wait behind a long queue of events: those due come first.
-            while self.timers.peek().is_some_and(|Reverse((at, ..))| *at <= self.clock.now()) {
-                self.fire();
-            }
-            self.shown.turned();
-            if self.has_left() {
-                return;
-            }
+        while self.turn(inbox) && !self.has_left() {}
+    }
+
+    /// Waits for the next event or timer and takes it; false once nobody is left who tells events.
+    fn turn(&mut self, inbox: &Inbox) -> bool {
+        let due = self.timers.peek().map(|Reverse((at, ..))| self.clock.instant(*at));
+        let event = match due {
+            Some(due) if due <= Instant::now() => Err(RecvTimeoutError::Timeout),
+            Some(due) => inbox.events.recv_deadline(due),
+            None => inbox.events.recv().map_err(|_| RecvTimeoutError::Disconnected),
+        };
+        self.take_lists(inbox);
+        match event {
+            Ok(event) => self.take(event),
+            Err(RecvTimeoutError::Timeout) => self.fire(),
+            Err(RecvTimeoutError::Disconnected) => return false,
+        }
+        // Guards against timers that wait behind a long queue of events: those due come first.
+        while self.timers.peek().is_some_and(|Reverse((at, ..))| *at <= self.clock.now()) {
+            self.take_lists(inbox);
+            self.fire();
+        }
+        self.shown.turned();
+        true
+    }
+
+    /// Takes what was told of the farm before anything else. Guards against a server that drains and is sent to for as
+    /// long as its list waits behind a queue of other events: a drain counts from the moment at which it was told.
+    fn take_lists(&mut self, inbox: &Inbox) {
+        while let Ok(news) = inbox.farm.try_recv() {
+            self.hear_of_farm(news);
+        }
+    }
+
+    fn hear_of_farm(&mut self, news: News) {
+        match news {
+            News::List(list) => self.take_list(list, false),
+            News::Failed(quiet) => self.list_is_out(api::ListKind::Failed(nanos(quiet))),
+            News::Silent(quiet) => self.list_is_out(api::ListKind::Silent(nanos(quiet))),
         }
     }
 
@@ -170,9 +192,8 @@
                     self.decide(api::Event::ClientLeft(RequestId(id)));
                 }
             }
-            Event::Farm(News::List(list)) => self.take_list(list, false),
-            Event::Farm(News::Failed(quiet)) => self.list_is_out(api::ListKind::Failed(nanos(quiet))),
-            Event::Farm(News::Silent(quiet)) => self.list_is_out(api::ListKind::Silent(nanos(quiet))),
+            Event::Farm(news) => self.hear_of_farm(news),
+            Event::FarmTold => {}
             Event::Probed(server, answer) => {
                 debug!(part = self.name, server = server.0, ?answer, "probed");
                 let load = match answer {
--- a/balancer/src/core/route.rs
+++ b/balancer/src/core/route.rs
@@ -113,6 +113,11 @@
         self.balancer = balancer;
         self.timers.retain(|Reverse((_, _, due))| !matches!(due, Due::Module(_)));
         self.decide(api::Event::List { kind: api::ListKind::Full, entries: self.farm.entries() });
+        // Where lists are pushed the module speaks up after a failure only. Guards against a watch that waits for ever
+        // to be asked for: the call that was due went with the old module. A watch that stands feels nothing of it.
+        if self.settings.discovery == api::Discovery::Pushed {
+            self.ask_discovery();
+        }
         for (id, place) in self.ledger.places() {
             match place {
                 Place::Standing(server) => {
--- a/balancer/src/core/start.rs
+++ b/balancer/src/core/start.rs
@@ -10,14 +10,15 @@
 use beaconflow::api::{Nanos, SettingsError};
 use beaconflow_overrides::{Judgement, Set};
 use beaconflow_settings::Setup;
-use crossbeam_channel::{Receiver, Sender, unbounded};
+use crossbeam_channel::Sender;
 
 use super::door::Gate;
 use super::farm::Farm;
 use super::fleet::Tie;
+use super::handle::{self, Inbox};
 use super::ledger::Ledger;
 use super::lifecycle::{Lifecycle, Shown};
-use super::{Asker, Core, DoorConfig, Event, Handle};
+use super::{Asker, Core, DoorConfig, Handle};
 use crate::clock::Clock;
 use crate::farm::List;
 
@@ -33,9 +34,9 @@
     pub clock: Clock,
     /// The farm as it was last known.
     pub known: List,
-    /// Asks for the farm; [`Event::Farm`] follows.
+    /// Asks for the farm; [`Event::Farm`](super::Event::Farm) follows.
     pub watch: Sender<()>,
-    /// Asks servers for their load, where the wire has a question for it; [`Event::Probed`] follows.
+    /// Asks servers for their load, where the wire has a question for it; [`Event::Probed`](super::Event::Probed) follows.
     pub asker: Option<Box<dyn Asker>>,
     /// The overrides that were restored.
     pub overrides: Set,
@@ -77,15 +78,15 @@
     Ok((handle, thread.map_err(StartError::Thread)?))
 }
 
-pub(super) fn build(start: Start) -> Result<(Handle, Core, Receiver<Event>), StartError> {
+pub(super) fn build(start: Start) -> Result<(Handle, Core, Inbox), StartError> {
     let mut settings = start.setup.module().map_err(StartError::Word)?;
     // Guards against a module that waits for answers to questions that nobody asks.
     settings.limits.may_probe &= start.asker.is_some();
-    let (events, inbox) = unbounded();
+    let (told, inbox) = handle::boxes();
     let aims = settings.classes.iter().map(|class| class.message_aim).filter(|aim| *aim > 0);
     let slow = aims.min().map_or(Nanos::MAX, |aim| aim / 3);
     let handle = Handle {
-        events,
+        told,
         next: Arc::default(),
         connections: Arc::default(),
         shown: Shown::default(),
--- a/balancer/src/core/testing.rs
+++ b/balancer/src/core/testing.rs
@@ -3,10 +3,12 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use beaconflow::api::Nanos;
 use beaconflow_overrides::Set;
 
+use super::handle::Inbox;
 use super::start::build;
-use super::{Carrier, Core, Opening, Order, Start};
+use super::{Carrier, Core, Handle, Opening, Order, Start};
 use crate::clock::Clock;
 use crate::farm::List;
 
@@ -28,6 +30,11 @@
 
 /// A core with one server and these overrides.
 pub(super) fn core(clock: Clock, overrides: Set) -> Core {
+    told_core(clock, overrides).1
+}
+
+/// The same, with the way to it and what it hears.
+pub(super) fn told_core(clock: Clock, overrides: Set) -> (Handle, Core, Inbox) {
     let setup = serde_json::from_str(SETTINGS).expect("settings");
     let (known, watch) = (list(&row("s0")), crossbeam_channel::unbounded().0);
     let start = Start {
@@ -42,7 +49,7 @@
         door: Default::default(),
         fleet: None,
     };
-    build(start).expect("sound settings").1
+    build(start).expect("sound settings")
 }
 
 /// Keeps the orders of all transactions.
@@ -86,7 +93,13 @@
 
 /// A client of an account opens.
 pub(super) fn opens(core: &mut Core, orders: &Arc<Orders>, id: u64, account: &str, patience: Duration) {
-    let opening = Opening {
+    let opening = opening(id, account, patience, core.clock.now());
+    core.admit(id, opening, Arc::<Orders>::clone(orders));
+}
+
+/// What such a client asks for.
+pub(super) fn opening(id: u64, account: &str, patience: Duration, taken_at: Nanos) -> Opening {
+    Opening {
         class: 0,
         key: Some(id),
         group: None,
@@ -96,9 +109,8 @@
         again: false,
         bytes: 40,
         load: None,
-        taken_at: core.clock.now(),
+        taken_at,
         patience,
         held_by: None,
-    };
-    core.admit(id, opening, Arc::<Orders>::clone(orders));
+    }
 }
