A reload that panics no longer costs the program its signals; stories of starts and ends

Cause: the thread that follows signals made the reloads itself. A panic in one ended it, after which no SIGTERM was followed: the program would be killed with all its clients.

Change: signals.rs follows signals, and a panic costs the reload alone. serve.rs uses it.

Result: signals::tests pass, and one of the two fails without the change (seen); discovery.rs, leaving.rs and starting.rs pass.

--- a/balancer/src/lib.rs
+++ b/balancer/src/lib.rs
@@ -25,4 +25,5 @@
 pub mod prober;
 pub mod reload;
 pub mod serve;
+pub mod signals;
 pub mod stages;
--- a/balancer/src/serve.rs
+++ b/balancer/src/serve.rs
@@ -31,6 +31,7 @@
 use crate::overrides::{self, Keeper, NamedCore};
 use crate::prober::Prober;
 use crate::reload::{Reload, Sockets};
+use crate::signals;
 use crate::stages;
 
 /// The agent's first word is waited for so long: it comes at once, or discovery is down.
@@ -68,7 +69,7 @@
 pub fn serve(operator: Option<(PathBuf, Operator)>) -> Result<(), String> {
     let inherited = inherited::take()?;
     let clock = Clock::start();
-    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|error| format!("signals: {error}"))?;
+    let mut caught = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|error| format!("signals: {error}"))?;
     // Guards against a limit on the size of files that would end the program: the write fails instead.
     signal_hook::flag::register(SIGXFSZ, Arc::default()).map_err(|error| format!("signals: {error}"))?;
     let on_platform = std::env::var_os("LB_CONFIG").is_some();
@@ -129,17 +130,8 @@
         spawn("operations", move || operations.run())?;
     }
     spawn("signals", move || {
-        let mut leaving = false;
-        for signal in &mut signals {
-            if signal != SIGHUP {
-                leaving = true;
-                told.iter().for_each(|core| core.tell(Event::Told(Word::Leave, None)));
-            } else if leaving {
-                info!(part = "reload", "left out: the program is leaving");
-            } else {
-                reloads.iter_mut().for_each(Reload::reload);
-            }
-        }
+        let leave = || told.iter().for_each(|core| core.tell(Event::Told(Word::Leave, None)));
+        signals::follow(&mut caught, || reloads.iter_mut().for_each(Reload::reload), leave);
     })?;
     for Serving { core, thread, .. } in serving {
         thread.join().map_err(|_| "the core panicked".to_owned())?;
--- a/cli/tests/discovery.rs
+++ b/cli/tests/discovery.rs
@@ -312,3 +312,84 @@
         }
     });
 }
+
+#[test]
+fn a_watch_that_lacks_a_descriptor_is_asked_for_again_once_there_is_one() {
+    let (discovery, server, front) = (listener(), listener(), free());
+    let known = [("s0", at(&server), "SERVING")];
+    // The limit is lower than the file says, so that clients take all descriptors.
+    let config = config(front, at(&discovery), &list(1, true, &known), &patient(), 4096);
+    let path = file("lacks", &config);
+    let program = Program::start_limited(40, &[("LB_CONFIG", path.as_str())]);
+    program.says("to=serving");
+    let mut watch = asked(&discovery);
+    watch.say(HEAD);
+    tell(&mut watch, 2, true, &known);
+    program.says("generation=2 kind=Full");
+    let crowd: Vec<TcpStream> =
+        (0..200).map(|_| TcpStream::connect(front).expect("its line is long")).collect();
+    program.says("accept failed");
+    drop(watch);
+    program.says("watch ended");
+    // Whether the next call has a descriptor hangs on what is kept back for it.
+    drop(crowd);
+    let gone = Instant::now();
+    let mut watch = asked(&discovery);
+    watch.say(HEAD);
+    tell(&mut watch, 3, true, &known);
+    program.says("generation=3 kind=Full");
+    assert!(gone.elapsed() < SILENT, "{:?}", gone.elapsed());
+    let _stands = serves(&server, &mut opened(front, "a1"));
+}
+
+/// Has the program's file name another discovery.
+fn names(site: &Watched, from: &TcpListener, to: &TcpListener) {
+    let moved = site.config.replace(&at(from).to_string(), &at(to).to_string());
+    std::fs::write(&site.path, moved).expect("the same folder");
+    site.program.signal("HUP");
+}
+
+#[test]
+fn a_sighup_that_comes_before_the_watch_stands_has_the_new_discovery_asked_for_the_whole_list() {
+    // One place in its line, which is taken: the first call never comes up.
+    let first = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    first.bind(&SocketAddr::new(at(&listener()).ip(), 0).into()).expect("loopback");
+    first.listen(0).expect("bound");
+    let first = TcpListener::from(first);
+    let _line = fill(&first);
+    let (second, server) = (listener(), listener());
+    let site = watched("hup-early", &patient(), &first, &[("s0", at(&server), "SERVING")]);
+    is_tried(at(&first));
+    let told = Instant::now();
+    names(&site, &first, &second);
+    let mut watch = Peer::accept(&second);
+    assert!(watch.hear().is_some_and(|line| line.contains("from=0 ")), "the whole list");
+    while watch.hear().is_some_and(|line| !line.is_empty()) {}
+    watch.say(HEAD);
+    tell(&mut watch, 1, true, &[("s0", at(&server), "DRAINING")]);
+    site.program.says("generation=1 kind=Full");
+    assert!(told.elapsed() < Duration::from_secs(4), "{:?}", told.elapsed());
+}
+
+#[test]
+fn of_two_sighups_in_quick_succession_the_last_counts() {
+    let (first, second, third, server) = (listener(), listener(), listener(), listener());
+    let site = watched("hup-twice", &patient(), &first, &[("s0", at(&server), "SERVING")]);
+    let mut watch = asked(&first);
+    watch.say(HEAD);
+    tell(&mut watch, 2, true, &[("s0", at(&server), "SERVING")]);
+    site.program.says("generation=2");
+    names(&site, &first, &second);
+    names(&site, &first, &third);
+    let mut watch = Peer::accept(&third);
+    assert!(watch.hear().is_some_and(|line| line.contains("from=0 ")), "the whole list");
+    while watch.hear().is_some_and(|line| !line.is_empty()) {}
+    watch.say(HEAD);
+    tell(&mut watch, 1, true, &[("s0", at(&server), "DRAINING")]);
+    site.program.says("generation=1 kind=Full");
+    // And back to one that was left before.
+    std::fs::write(&site.path, &site.config).expect("the same folder");
+    site.program.signal("HUP");
+    assert!(watch.is_gone(), "the watch on the one before is ended");
+    asked(&first);
+}
--- a/cli/tests/leaving.rs
+++ b/cli/tests/leaving.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use support::site::Site;
@@ -57,3 +58,85 @@
     assert!(site.program.left(), "it leaves by itself");
     assert!(told.elapsed() < SHORT_DEADLINE + KILL_AFTER_DEADLINE, "{:?}", told.elapsed());
 }
+
+/// SIGKILL follows SIGTERM no sooner with the usual settings.
+const KILLED_AFTER: Duration = Duration::from_millis(3_700);
+
+#[test]
+fn a_program_told_to_leave_while_its_start_waits_for_an_agent_leaves_in_order() {
+    let (agent, server) = (listener(), listener());
+    let settings = SETTINGS.replace("\"subscribe\"", "\"automatic\"");
+    let rows = [("s0", server.local_addr().expect("bound"), "SERVING")];
+    let discovery = agent.local_addr().expect("bound");
+    let config = config(free(), discovery, &list(1, true, &rows), &settings, 256);
+    let path = file("early", &config);
+    let mut program = Program::start(&[], &[("LB_CONFIG", path.as_str())]);
+    // The agent is asked, and the start waits for its answer.
+    let _silent = Peer::accept(&agent);
+    let told = Instant::now();
+    program.signal("TERM");
+    assert!(program.left(), "it leaves by itself, in order");
+    assert!(told.elapsed() < KILLED_AFTER, "{:?}", told.elapsed());
+}
+
+#[test]
+fn signals_that_come_in_a_drain_neither_stop_it_nor_begin_it_anew() {
+    let mut site = Site::start("again", 1);
+    let mut watch = site.discovery.watch();
+    let mut standing: Vec<(Peer, Peer)> = (0..4).map(|_| site.stand()).collect();
+    let elsewhere = listener();
+    let address = elsewhere.local_addr().expect("bound").to_string();
+    let told = Instant::now();
+    site.program.signal("TERM");
+    site.program.says("to=leaving");
+    let moved = site.config.replace(&site.discovery.address.to_string(), &address);
+    std::fs::write(&site.path, moved).expect("the same folder");
+    site.program.signal("HUP");
+    site.program.says("left out: the program is leaving");
+    site.program.signal("TERM");
+    site.program.signal("HUP");
+    // The list is still heard: a newcomer goes to nobody who drains.
+    let other = listener();
+    let rows = [
+        ("s0", site.servers[0].local_addr().expect("bound"), "DRAINING"),
+        ("s1", other.local_addr().expect("bound"), "SERVING"),
+    ];
+    tell(&mut watch, 2, false, &rows);
+    site.program.says("generation=2");
+    let mut newcomer = site.open("chat", "");
+    let mut server = Peer::accept(&other);
+    server.hear().expect("an opening");
+    server.say("UP r1\r\n");
+    newcomer.hears("UP r1");
+    for (client, _) in &mut standing {
+        client.hears("MOVE");
+        client.ended();
+    }
+    newcomer.hears("MOVE");
+    newcomer.ended();
+    assert!(site.program.left(), "it leaves by itself");
+    assert!(told.elapsed() < KILLED_AFTER, "{:?}", told.elapsed());
+    elsewhere.set_nonblocking(true).expect("open");
+    assert!(elsewhere.accept().is_err(), "nobody asked the new discovery");
+}
+
+fn says_yes(at: SocketAddr) -> bool {
+    let mut front = Peer::connect(at);
+    front.say("PING\r\n");
+    front.hear().as_deref() == Some("PONG")
+}
+
+#[test]
+fn a_program_killed_soon_after_sigterm_leaves_nothing_in_the_way_of_the_next_under_its_name() {
+    let mut site = Site::start("killed", 1);
+    let _standing = site.stand();
+    site.program.signal("TERM");
+    site.program.says("to=leaving");
+    site.program.kill();
+    let env = [("LB_CONFIG", site.path.as_str())];
+    site.program = Program::start(&[], &env);
+    site.program.says("to=serving");
+    assert!(says_yes(site.at));
+    let mut client = site.open("chat", "");
+    let _server = serves(&site, &mut client);
+}
--- a/cli/tests/support/mod.rs
+++ b/cli/tests/support/mod.rs
@@ -66,6 +66,14 @@
         Program::begin(command, args, env)
     }
 
+    /// Starts it with a limit on its descriptors.
+    pub fn start_limited(descriptors: usize, env: &[(&str, &str)]) -> Program {
+        let mut command = Command::new("sh");
+        let script = format!(r#"ulimit -n {descriptors}; exec "$0" "$@""#);
+        command.args(["-c", &script, env!("CARGO_BIN_EXE_beaconflow")]);
+        Program::begin(command, &[], env)
+    }
+
     /// Starts it with a listener that this test holds, as descriptor 3.
     pub fn start_inheriting(held: &TcpListener, env: &[(&str, &str)]) -> Program {
         let mut command = Command::new("sh");
