A process that knows no server asks discovery for the whole list

Cause: the first watch went on from the version of the known list, also where that list is empty. Discovery then tells what changed since, and the process would serve on a part of the servers, or never be ready.

Change: an empty list's version does not count.

--- a/balancer/src/farm.rs
+++ b/balancer/src/farm.rs
@@ -45,6 +45,14 @@
     pub instances: Vec<Listed>,
 }
 
+impl List {
+    /// The version that a watch goes on from; none where no server is known. Guards against a watch that tells only what
+    /// has changed since a list that nobody has.
+    pub fn version(&self) -> u64 {
+        if self.instances.is_empty() { 0 } else { self.generation }
+    }
+}
+
 /// One application server of a list.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
--- a/balancer/src/serve.rs
+++ b/balancer/src/serve.rs
@@ -163,7 +163,7 @@
     given: Given<'_>,
 ) -> Result<(Serving, Reload), String> {
     let config = file.clone().overruled()?;
-    let (watcher, watch) = Watcher::new(config.discovery, config.known.generation);
+    let (watcher, watch) = Watcher::new(config.discovery, config.known.version());
     let target = watcher.target();
     let seed = config.seed();
     let setup = config.settings;
--- a/cli/tests/starting.rs
+++ b/cli/tests/starting.rs
@@ -120,10 +120,12 @@
 #[test]
 fn a_process_that_knows_no_server_says_no_until_a_list_comes() {
     let (discovery, server, front) = (listener(), listener(), free());
-    let text = config(front, at(&discovery), &list(0, false, &[]), SETTINGS, 256);
+    // Its version is of no use: what changed since would not be all that there is.
+    let text = config(front, at(&discovery), &list(41, true, &[]), SETTINGS, 256);
     let path = file("none", &text);
     let program = Program::start(&[], &[("LB_CONFIG", path.as_str())]);
     let mut call = Peer::accept(&discovery);
+    assert!(call.hear().is_some_and(|line| line.contains("from=0 ")), "the whole list");
     while call.hear().is_some_and(|line| !line.is_empty()) {}
     let no = answer_to_ping(front);
     assert!(no.is_some() && no.as_deref() != Some("PONG"), "{no:?}");
