Handover goes on accepting after an accept that failed

Cause: the thread that accepts givers ended with the first failed accept. Where descriptors run out for a moment, each later giver would have its connection, and what it gave would stay in the system's queue, its clients unheard.

Change: a failed accept is told, and tried again after 10 ms.

--- a/balancer/src/handover.rs
+++ b/balancer/src/handover.rs
@@ -10,6 +10,7 @@
 use std::os::fd::{AsFd, OwnedFd};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::time::Duration;
 
 use rustix::net::sockopt::socket_peercred;
 use rustix::net::{
@@ -23,6 +24,8 @@
 
 /// Longest message: a server's name, and an opening line.
 const LONGEST: usize = 8 * 1024;
+/// After a failed accept the next one waits for so long. Guards against a busy loop while there are no descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Messages are whole or not there.
 const KIND: Type = Type::SEQPACKET;
 
@@ -58,18 +61,17 @@
         listener.listen(4)?;
         std::fs::rename(&own, &self.0)?;
         let take = Arc::new(take);
-        let accept = move || {
-            while let Ok((giver, _)) = listener.accept() {
-                let take = Arc::clone(&take);
-                let run = move || {
-                    let taken = take_all(&giver, &*take);
-                    info!(part = "handover", taken, "taken over");
-                };
-                if let Err(error) = thread().spawn(run) {
-                    warn!(part = "handover", why = %error, "no thread");
-                }
+        let begin = move |giver: Socket| {
+            let take = Arc::clone(&take);
+            let run = move || {
+                let taken = take_all(&giver, &*take);
+                info!(part = "handover", taken, "taken over");
+            };
+            if let Err(error) = thread().spawn(run) {
+                warn!(part = "handover", why = %error, "no thread");
             }
         };
+        let accept = move || accept_all(|| listener.accept().map(|(giver, _)| giver), begin);
         thread().spawn(accept).map(drop)
     }
 
@@ -117,6 +119,20 @@
     std::thread::Builder::new().name("handover".into()).stack_size(net::STACK)
 }
 
+/// Accepts whoever gives, for as long as the program runs. Guards against a lack of descriptors in the wrong moment: a
+/// giver has its connection by then, and what it gives would stay in the system's queue with its clients.
+fn accept_all(mut accept: impl FnMut() -> io::Result<Socket>, begin: impl Fn(Socket)) {
+    loop {
+        match accept() {
+            Ok(giver) => begin(giver),
+            Err(error) => {
+                warn!(part = "handover", why = %error, "accept failed");
+                std::thread::sleep(ACCEPT_PAUSE);
+            }
+        }
+    }
+}
+
 /// Takes what one process gives until it ends; gives how many connections that were.
 fn take_all(giver: &Socket, take: &impl Fn(Given)) -> usize {
     let mut taken = 0;
--- a/balancer/src/handover/tests.rs
+++ b/balancer/src/handover/tests.rs
@@ -2,7 +2,6 @@
 
 use std::io::{Read, Write};
 use std::net::TcpListener;
-use std::time::Duration;
 
 use super::*;
 
@@ -40,3 +39,22 @@
         assert_eq!(&heard, words);
     }
 }
+
+#[test]
+fn an_accept_that_fails_once_does_not_cost_those_who_give_later() {
+    let (given, taken) = crossbeam_channel::unbounded();
+    // No descriptor, then a giver, then nobody for as long as the test runs.
+    let mut came = 0;
+    let accept = move || {
+        came += 1;
+        match came {
+            1 => Err(io::Error::from_raw_os_error(rustix::io::Errno::MFILE.raw_os_error())),
+            2 => Socket::new(Domain::UNIX, KIND, None),
+            _ => loop {
+                std::thread::park();
+            },
+        }
+    };
+    std::thread::spawn(move || accept_all(accept, move |giver| drop(given.send(giver))));
+    assert!(taken.recv_timeout(Duration::from_secs(10)).is_ok(), "the second is served");
+}
