--- a/cli/tests/leaving.rs
+++ b/cli/tests/leaving.rs
@@ -140,3 +140,27 @@
     let mut client = site.open("chat", "");
     let _server = serves(&site, &mut client);
 }
+
+#[test]
+fn a_sighup_on_standby_is_followed_and_neither_stops_the_drain_nor_takes_clients_again() {
+    let operations = free();
+    let site = Site::start_with("standby", 1, &[("LB_ADMIN_ADDR", &operations.to_string())]);
+    let _watch = site.discovery.watch();
+    let mut standing: Vec<(Peer, Peer)> = (0..4).map(|_| site.stand()).collect();
+    let api = Api { at: operations, token: "none is wanted" };
+    assert_eq!(api.call("POST", "/standby", "").status, 200);
+    let elsewhere = listener();
+    let address = elsewhere.local_addr().expect("bound");
+    let moved = site.config.replace(&site.discovery.address.to_string(), &address.to_string());
+    std::fs::write(&site.path, moved).expect("the same folder");
+    site.program.signal("HUP");
+    let _asked = Peer::accept(&elsewhere);
+    assert!(!says_yes(site.at), "it stands by");
+    for (client, _) in &mut standing {
+        client.hears("MOVE");
+        client.ended();
+    }
+    assert!(!says_yes(site.at), "it still does");
+    assert_eq!(api.call("POST", "/active", "").status, 200);
+    assert!(says_yes(site.at));
+}
