--- a/balancer/src/front/mod.rs
+++ b/balancer/src/front/mod.rs
@@ -35,9 +35,14 @@
         Vec::new()
     }
 
-    /// A client that has sent no whole opening by then is let go.
+    /// A client that has sent nothing by then is let go.
     fn opening_wait(&self) -> Duration;
 
+    /// One that has begun its opening, and has not sent the whole of it by then.
+    fn begun_opening_wait(&self) -> Duration {
+        self.opening_wait()
+    }
+
     /// Longest line of an opening, with its end.
     fn longest_opening(&self) -> usize;
 
--- a/balancer/src/front/platform.rs
+++ b/balancer/src/front/platform.rs
@@ -16,9 +16,12 @@
 
 /// Longest line, with its end.
 const LONGEST_LINE: usize = 4096;
-/// A client that has sent no whole opening by then is let go. It is owed a word or a close within 3 s of connecting,
-/// and may have waited to be accepted.
+/// A client that has sent nothing by then is let go. It is owed a word or a close within 3 s of connecting, and may
+/// have waited to be accepted.
 const OPENING_PATIENCE: Duration = Duration::from_millis(1_500);
+/// One that has begun its opening is let go by then: some clients take 2 s to write it, and those that never end theirs
+/// are owed the same within 3 s.
+const BEGUN_OPENING_PATIENCE: Duration = Duration::from_millis(2_300);
 /// Longest id, and longest key.
 const LONGEST_NAME: usize = 64;
 /// A client's line unanswered for so long means that its server is silent. Well under the rule's 7 s, which
@@ -169,6 +172,10 @@
         OPENING_PATIENCE
     }
 
+    fn begun_opening_wait(&self) -> Duration {
+        BEGUN_OPENING_PATIENCE
+    }
+
     fn longest_opening(&self) -> usize {
         LONGEST_LINE
     }
@@ -220,6 +227,10 @@
         let (before, after) = (&greeting.line[..greeting.wait.start], &greeting.line[greeting.wait.end..]);
         asking.head(&[before, wait.as_bytes(), after, b"\r\n"])?;
         let line = asking.line(PassError::Written)?;
+        // Guards against an answer that no line of this wire can hold, with or without its beginning.
+        if line.len() > LONGEST_LINE {
+            return Err(PassError::Answered(Answer::Error));
+        }
         match trimmed(&line) {
             b"BUSY" => Err(PassError::Answered(Answer::Unavailable)),
             b"MOVE" => Err(PassError::Answered(Answer::SentAway)),
@@ -315,55 +326,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn lines_in_pieces_keep_their_meaning_and_their_boundaries() {
-        let mut lines = Lines::default();
-        let mut all = Vec::new();
-        let mut follow = |bytes: &[u8]| {
-            let mut seen = |seen| {
-                all.push(seen);
-                true
-            };
-            lines.follow(bytes, &mut seen).expect("short lines").boundary
-        };
-        assert_eq!(follow(b"LOAD 12"), None);
-        assert_eq!(follow(b".5\r\nBY"), Some(4));
-        assert_eq!(follow(b"E\r\nok\r"), Some(3));
-        assert_eq!(follow(b"\n"), Some(1));
-        assert!(lines.is_between());
-        assert_eq!(all, [Seen::Load(12.5), Seen::Goodbye, Seen::Answered]);
-    }
-
-    #[test]
-    fn a_report_is_read_for_its_load_and_what_is_spoilt_in_it_is_passed_over() {
-        use LoadAnswer::{Load, Nothing, Trouble};
-        let cases = [
-            ("PONG x0=0.25,queue=3", Load(0.25)),
-            ("PONG queue=x,x0=2", Load(2.0)),
-            ("PONG colour=red,x0=0", Load(0.0)),
-            ("PONG", Nothing),
-            ("PONG queue=3", Nothing),
-            ("PONG x0=-1", Nothing),
-            ("PONG x0=nan", Nothing),
-            ("PONG x0=inf,queue=1", Nothing),
-            ("PONG x0=", Nothing),
-            ("NO", Nothing),
-            ("ERR", Trouble),
-            ("BUSY 20", Trouble),
-            ("", Trouble),
-        ];
-        for (line, answer) in cases {
-            assert_eq!(load_of(line.as_bytes()), answer, "{line:?}");
-        }
-    }
-
-    #[test]
-    fn a_line_over_four_kib_is_a_fault() {
-        let mut lines = Lines::default();
-        assert!(lines.follow(&[b'x'; 4096], &mut |_| true).is_ok());
-        assert!(lines.follow(b"x", &mut |_| true).is_err());
-    }
-}
+mod tests;
--- /dev/null
+++ b/balancer/src/front/platform/tests.rs
@@ -0,0 +1,52 @@
+//! Lines of the platform's wire.
+
+use super::*;
+
+#[test]
+fn lines_in_pieces_keep_their_meaning_and_their_boundaries() {
+    let mut lines = Lines::default();
+    let mut all = Vec::new();
+    let mut follow = |bytes: &[u8]| {
+        let mut seen = |seen| {
+            all.push(seen);
+            true
+        };
+        lines.follow(bytes, &mut seen).expect("short lines").boundary
+    };
+    assert_eq!(follow(b"LOAD 12"), None);
+    assert_eq!(follow(b".5\r\nBY"), Some(4));
+    assert_eq!(follow(b"E\r\nok\r"), Some(3));
+    assert_eq!(follow(b"\n"), Some(1));
+    assert!(lines.is_between());
+    assert_eq!(all, [Seen::Load(12.5), Seen::Goodbye, Seen::Answered]);
+}
+
+#[test]
+fn a_report_is_read_for_its_load_and_what_is_spoilt_in_it_is_passed_over() {
+    use LoadAnswer::{Load, Nothing, Trouble};
+    let cases = [
+        ("PONG x0=0.25,queue=3", Load(0.25)),
+        ("PONG queue=x,x0=2", Load(2.0)),
+        ("PONG colour=red,x0=0", Load(0.0)),
+        ("PONG", Nothing),
+        ("PONG queue=3", Nothing),
+        ("PONG x0=-1", Nothing),
+        ("PONG x0=nan", Nothing),
+        ("PONG x0=inf,queue=1", Nothing),
+        ("PONG x0=", Nothing),
+        ("NO", Nothing),
+        ("ERR", Trouble),
+        ("BUSY 20", Trouble),
+        ("", Trouble),
+    ];
+    for (line, answer) in cases {
+        assert_eq!(load_of(line.as_bytes()), answer, "{line:?}");
+    }
+}
+
+#[test]
+fn a_line_over_four_kib_is_a_fault() {
+    let mut lines = Lines::default();
+    assert!(lines.follow(&[b'x'; 4096], &mut |_| true).is_ok());
+    assert!(lines.follow(b"x", &mut |_| true).is_err());
+}
--- a/balancer/src/net.rs
+++ b/balancer/src/net.rs
@@ -241,6 +241,8 @@
     bytes: Vec<u8>,
     /// Bytes read of it since its last word.
     drained: usize,
+    /// It has ended its own sending since its last word.
+    ended: bool,
 }
 
 impl Outflow {
@@ -276,9 +278,9 @@
         }
     }
 
-    /// Reads a peer that has had its last word; false once it has ended. Guards against a reset, which the system
-    /// makes of a close with bytes unread and which would overtake that word, and against a peer that goes on sending
-    /// at full speed.
+    /// Reads a peer that has had its last word; false once it has ended and has taken all. Guards against a reset,
+    /// which the system makes of a close with bytes unread and which would overtake that word, and against a peer that
+    /// goes on sending at full speed: beyond a bound nothing more is read of it.
     pub fn linger(&mut self, mut of: &TcpStream) -> bool {
         if !self.is_empty() {
             if self.flush(of).is_err() {
@@ -288,14 +290,20 @@
                 finish(of);
             }
         }
-        match of.read(&mut [0; 4096]) {
-            Ok(0) => false,
-            Ok(count) => {
-                self.drained += count;
-                self.drained < MOST_DRAINED
+        if self.reads_on() {
+            match of.read(&mut [0; 4096]) {
+                Ok(0) => self.ended = true,
+                Ok(count) => self.drained += count,
+                Err(error) if is_wait(&error) => {}
+                Err(_) => return false,
             }
-            Err(error) => is_wait(&error),
         }
+        !(self.ended && self.is_empty())
+    }
+
+    /// Whether a peer that has had its last word is still to be read.
+    pub fn reads_on(&self) -> bool {
+        !self.ended && self.drained < MOST_DRAINED
     }
 
     /// Goes on writing what was kept.
@@ -334,6 +342,13 @@
 /// Most that is read of a peer that has had its last word.
 const MOST_DRAINED: usize = 64 * 1024;
 
+/// Closes a connection that has had its last word: what lies there is read first. Guards against a reset, which the
+/// system makes of a close with bytes unread, and which would destroy that word.
+pub fn close(stream: &TcpStream) {
+    finish(stream);
+    drain(stream, Duration::ZERO);
+}
+
 /// Ends a connection in both directions; a thread that reads from it wakes.
 pub fn end(stream: &TcpStream) {
     let _ = stream.shutdown(Shutdown::Both);
--- a/balancer/src/operations.rs
+++ b/balancer/src/operations.rs
@@ -164,6 +164,7 @@
         if !matches!(caller.phase, Phase::Answered(_)) {
             caller.answer(&Reply::error(503, "too many callers at once"));
         }
+        net::close(&caller.stream);
     }
 
     /// Does something with a caller, and watches what is wanted of it then.
@@ -175,8 +176,9 @@
         let watched = self.poller.watch(&caller.stream, number, (caller.watched, wanted));
         caller.watched = wanted;
         if watched.is_ok() && caller.phase != Phase::Over {
-            self.callers.push(caller);
+            return self.callers.push(caller);
         }
+        net::close(&caller.stream);
     }
 
     fn hear(&mut self, caller: &mut Caller) {
@@ -302,8 +304,13 @@
 
     fn wants(&self) -> EventFlags {
         match self.phase {
-            Phase::Answered(_) if !self.out.is_empty() => EventFlags::IN | EventFlags::OUT,
-            Phase::Answered(_) | Phase::Calling(_) => EventFlags::IN,
+            Phase::Answered(_) => {
+                let mut wants = EventFlags::empty();
+                wants.set(EventFlags::IN, self.out.reads_on());
+                wants.set(EventFlags::OUT, !self.out.is_empty());
+                wants
+            }
+            Phase::Calling(_) => EventFlags::IN,
             // One that leaves meanwhile is answered in vain.
             Phase::Waiting(_) | Phase::Over => EventFlags::empty(),
         }
--- a/balancer/src/serve.rs
+++ b/balancer/src/serve.rs
@@ -32,6 +32,7 @@
 use crate::prober::Prober;
 use crate::reload::{Reload, Sockets};
 use crate::stages;
+use crate::stages::budget::Descriptors;
 
 /// The agent's first word is waited for so long: it comes at once, or discovery is down.
 const FIRST_WORD: Duration = Duration::from_millis(200);
@@ -192,11 +193,6 @@
     let start = Start { name: "core", setup, seed, clock, known, watch, asker, overrides, door, fleet: tie };
     let (core, thread) = start_core(start, Some(watcher))?;
     let fleet = fleet.map(|fleet| fleet.start(core.clone())).transpose()?;
-    if let Some(prober) = prober {
-        let told = core.clone();
-        spawn("prober", move || prober.run(|server, answer| told.tell(Event::Probed(server, answer))))?;
-    }
-    let sockets = Sockets::new(config.limits.sockets.into());
     let listener = match inherited {
         Some(socket) => {
             Listener::inherited(socket).map_err(|error| format!("inherited listener: {error}"))?
@@ -204,10 +200,16 @@
         None => listen(config.listen)?,
     };
     let shared = listener.shared;
+    let sockets = Sockets::new(config.limits.sockets.into());
+    let descriptors = Descriptors::without_probes(Arc::clone(&sockets), shared);
+    if let Some(prober) = prober {
+        let told = core.clone();
+        spawn("prober", move || prober.run(|server, answer| told.tell(Event::Probed(server, answer))))?;
+    }
     // Only processes that share the clients' listener take one another's place.
     let folder = std::env::var_os("TMPDIR").filter(|_| shared);
     let place = folder.map(|folder| Place::of(Path::new(&folder), &config.name));
-    start_front(front, (listener, place), Arc::clone(&sockets), &core)?;
+    start_front(front, (listener, place), descriptors, &core)?;
     info!(part = "main", front = "platform", name = config.name, on = %config.listen, shared, "serves");
     let reload = Reload::Platform { file: Box::new(file), target, sockets, core: core.clone() };
     Ok((Serving { front: "platform", core, thread, fleet }, reload))
@@ -242,7 +244,8 @@
     let fleet = fleet.map(|fleet| fleet.start(core.clone())).transpose()?;
     let front = Arc::new(Front::new(nats.name.clone(), Arc::clone(&setup), Arc::clone(&tenants), nats.wire));
     let sockets = Sockets::new(nats.sockets.into());
-    start_front(front, (listen(nats.listen)?, None), Arc::clone(&sockets), &core)?;
+    let descriptors = Descriptors::without_probes(Arc::clone(&sockets), false);
+    start_front(front, (listen(nats.listen)?, None), descriptors, &core)?;
     info!(part = "main", front = "nats", name = nats.name, on = %nats.listen, "serves");
     Ok((Serving { front: "nats", core, thread, fleet }, NatsParts { tenants, setup, target, sockets }))
 }
@@ -290,7 +293,7 @@
 fn start_front<F: crate::front::Front>(
     front: Arc<F>,
     (listener, place): (Listener, Option<Place>),
-    sockets: Sockets,
+    descriptors: Descriptors,
     core: &Handle,
 ) -> Result<(), String> {
     let core = core.clone();
@@ -311,7 +314,7 @@
     spawn("take-in", move || {
         // Guards against a program that says yes and hears nobody.
         let _listens = Listens::begin(&core);
-        stages::take_in::listen(&front, &listener, (&core, &sockets), &desk);
+        stages::take_in::listen(&front, &listener, (&core, &descriptors), &desk);
     })
 }
 
--- a/balancer/src/stages/mod.rs
+++ b/balancer/src/stages/mod.rs
@@ -2,6 +2,8 @@
 //!
 //! Admitting, routing and booking are the core's; see `core`.
 
+pub mod budget;
+pub mod lingering;
 pub mod relay;
 pub mod send;
 pub mod take_in;
--- a/balancer/src/stages/relay.rs
+++ b/balancer/src/stages/relay.rs
@@ -3,7 +3,7 @@
 //! Nothing here blocks or waits: whoever holds a connection waits for its sides and says which one is ready.
 
 use std::collections::VecDeque;
-use std::io::Read;
+use std::io::{ErrorKind, Read};
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -17,6 +17,7 @@
 use crate::net::{self, Outflow, ReadError};
 use crate::pass::{Client, End};
 use crate::poller::EventFlags;
+use crate::stages::lingering::Lingering;
 
 /// A move waits for so long for the end of a message that has begun.
 const MOVE_PATIENCE: Duration = Duration::from_millis(700);
@@ -84,25 +85,9 @@
         Arc::clone(&self.given_up)
     }
 
-    /// Whether the client has had its last word.
-    pub fn is_over(&self) -> bool {
-        self.over
-    }
-
-    /// Says the last word, and ends the connection in order once it has been taken.
-    pub fn answer(&mut self, words: &[u8]) {
-        self.over = true;
-        self.out.part(&self.client, words);
-    }
-
-    /// Reads a client that has had its last word; false once it has ended.
-    pub fn linger(&mut self) -> bool {
-        self.out.linger(&self.client)
-    }
-
-    /// What is wanted of a client that has had its last word.
-    pub fn lingers_for(&self) -> EventFlags {
-        if self.out.is_empty() { EventFlags::IN } else { EventFlags::IN | EventFlags::OUT }
+    /// Says the last word; the client is to be read until it ends.
+    pub fn part(self, words: &[u8]) -> Lingering {
+        Lingering::begin(self.client, self.out, words)
     }
 }
 
@@ -114,6 +99,10 @@
     /// The beginning of a server's message that is not whole.
     kept: Vec<u8>,
     to_server: Outflow,
+    /// Why the client can be written to no more. What it said before that, and its end, are still to be read.
+    client_lost: Option<ErrorKind>,
+    /// The same for the server.
+    server_lost: Option<ErrorKind>,
     /// When there was last nothing left to take.
     took_at: Instant,
     /// When the server was last asked anything, or the client last spoke.
@@ -162,6 +151,8 @@
             framer: front.server_framer(),
             kept: Vec::new(),
             to_server: Outflow::default(),
+            client_lost: None,
+            server_lost: None,
             took_at: now,
             quiet_since: now,
             silence: front.silence(),
@@ -171,8 +162,7 @@
 
     /// The client hears the answer, and the server gets what came early; then what it has said ahead goes on.
     pub fn join(&mut self, (answer, ahead): (&[u8], &[u8]), words: &[u8]) -> Result<(), End> {
-        let heard = self.link.out.send(&self.link.client, &[answer]);
-        heard.map_err(|_| End::ClientBroke)?;
+        self.tell_client(&[answer]);
         self.forward(&[])?;
         self.notes.core.tell(Event::Established(self.notes.id));
         self.backward(ahead, words)
@@ -194,37 +184,49 @@
 
     /// A side is ready: what waits for it is written, and what it has is passed on.
     pub fn ready(&mut self, side: Side, words: &[u8]) -> Result<(), End> {
+        self.flush(side);
         let mut chunk = [0; CHUNK];
         match side {
-            Side::Client => {
-                self.link.out.flush(&self.link.client).map_err(|_| End::ClientBroke)?;
-                if self.to_server.is_empty() {
-                    match (&self.link.client).read(&mut chunk) {
-                        Ok(0) => return Err(End::ClientEnded),
-                        Ok(count) => self.forward(&chunk[..count])?,
-                        Err(error) if net::is_wait(&error) => {}
-                        Err(_) => return Err(End::ClientBroke),
-                    }
-                }
-            }
-            Side::Server => {
-                self.to_server.flush(&self.server).map_err(|_| End::ServerBroke)?;
-                if self.link.out.is_empty() {
-                    match (&self.server).read(&mut chunk) {
-                        Ok(0) => return Err(self.how_ended()),
-                        Ok(count) => self.backward(&chunk[..count], words)?,
-                        Err(error) if net::is_wait(&error) => {}
-                        Err(_) => return Err(End::ServerBroke),
-                    }
-                }
-            }
+            Side::Client if self.to_server.is_empty() => match (&self.link.client).read(&mut chunk) {
+                Ok(0) => return Err(self.how_client_ended()),
+                Ok(count) => self.forward(&chunk[..count])?,
+                Err(error) if net::is_wait(&error) && self.client_lost.is_none() => {}
+                Err(_) => return Err(End::ClientBroke),
+            },
+            Side::Server if self.link.out.is_empty() => match (&self.server).read(&mut chunk) {
+                Ok(0) => return Err(self.how_server_ended()),
+                Ok(count) => self.backward(&chunk[..count], words)?,
+                Err(error) if net::is_wait(&error) && self.server_lost.is_none() => {}
+                Err(_) => return Err(self.last_word().unwrap_or(End::ServerBroke)),
+            },
+            Side::Client | Side::Server => {}
         }
         self.moved(words)
     }
 
+    /// Writes what waits for a side.
+    fn flush(&mut self, side: Side) {
+        match side {
+            Side::Client => self.tell_client(&[]),
+            Side::Server => self.tell_server(&[]),
+        }
+    }
+
+    /// Writes to the client. Guards against a broken write that would end the connection before what the client said
+    /// has been read: a peer that ended its connection in order breaks the writes that cross its end.
+    fn tell_client(&mut self, parts: &[&[u8]]) {
+        let Standing { link: Link { client, out, .. }, client_lost, .. } = self;
+        write(client, out, parts, client_lost);
+    }
+
+    /// The same for the server: its last lines go on to the client.
+    fn tell_server(&mut self, parts: &[&[u8]]) {
+        write(&self.server, &mut self.to_server, parts, &mut self.server_lost);
+    }
+
     /// What is due whether a side is ready or not.
     pub fn look(&mut self, words: &[u8]) -> Result<(), End> {
-        self.ask()?;
+        self.ask();
         if self.link.out.is_empty() && self.to_server.is_empty() {
             self.took_at = Instant::now();
         } else if self.took_at.elapsed() >= net::WRITE_PATIENCE {
@@ -248,7 +250,8 @@
         let unsent = !(self.link.out.is_empty() && self.to_server.is_empty());
         let kept = !(self.link.kept.is_empty() && self.kept.is_empty());
         let between = self.link.framer.is_between() && self.framer.is_between();
-        between && !unsent && !kept && !self.link.over && self.notes.moving.is_none()
+        let lost = self.client_lost.is_some() || self.server_lost.is_some();
+        between && !unsent && !kept && !lost && !self.link.over && self.notes.moving.is_none()
     }
 
     /// The client is to be moved, now or, inside a message, at its end.
@@ -272,22 +275,22 @@
         }
         self.quiet_since = Instant::now();
         self.notes.asked.extend((0..questions).map(|_| Asked { at: Instant::now(), own: false }));
-        let sent = self.to_server.send(&self.server, &[&link.kept[..consumed]]);
-        link.kept.drain(..consumed);
-        sent.map_err(|_| End::ServerBroke)
+        let message: Vec<u8> = link.kept.drain(..consumed).collect();
+        self.tell_server(&[&message]);
+        Ok(())
     }
 
     /// Asks the server the balancer's own question, if the wire has one and nothing was asked for a while; it
     /// comes between two messages. Guards against a silent server whose client asks nothing itself.
-    fn ask(&mut self) -> Result<(), End> {
-        let Some(probe) = self.link.probe else { return Ok(()) };
+    fn ask(&mut self) {
+        let Some(probe) = self.link.probe else { return };
         let idle = self.quiet_since.elapsed() >= probe.after && self.notes.asked.is_empty();
         if !idle || !self.link.framer.is_between() {
-            return Ok(());
+            return;
         }
         self.quiet_since = Instant::now();
         self.notes.asked.push_back(Asked { at: Instant::now(), own: true });
-        self.to_server.send(&self.server, &[probe.words]).map_err(|_| End::ServerBroke)
+        self.tell_server(&[probe.words]);
     }
 
     /// Relays what the server sent, as far as it may go on. A move that waits goes out at the last boundary.
@@ -300,30 +303,39 @@
         let Followed { consumed, boundary, dropped } = followed.map_err(|_| End::ServerFault)?;
         let last = boundary.filter(|_| waits);
         let end = last.unwrap_or(consumed);
+        let message: Vec<u8> = self.kept.drain(..consumed).collect();
         let (mut parts, mut from) = (Vec::with_capacity(dropped.len() + 2), 0);
         for gap in dropped.iter().filter(|gap| gap.end <= end) {
-            parts.push(&self.kept[from..gap.start]);
+            parts.push(&message[from..gap.start]);
             from = gap.end;
         }
-        parts.push(&self.kept[from..end]);
+        parts.push(&message[from..end]);
         if last.is_some() {
             parts.push(words);
             self.link.over = true;
         }
-        let sent = self.link.out.send(&self.link.client, &parts);
-        sent.map_err(|_| End::ClientBroke)?;
-        self.kept.drain(..consumed);
+        self.tell_client(&parts);
         Ok(())
     }
 
-    fn how_ended(&self) -> End {
+    /// The end that a server's last line announced.
+    fn last_word(&self) -> Option<End> {
         match self.notes.last {
-            Some(Seen::Goodbye) => End::Served,
-            Some(Seen::SentAway) => End::SentAway,
-            _ => End::ServerEnded,
+            Some(Seen::Goodbye) => Some(End::Served),
+            Some(Seen::SentAway) => Some(End::SentAway),
+            _ => None,
         }
     }
 
+    fn how_server_ended(&self) -> End {
+        let plain = if was_reset(self.server_lost) { End::ServerBroke } else { End::ServerEnded };
+        self.last_word().unwrap_or(plain)
+    }
+
+    fn how_client_ended(&self) -> End {
+        if was_reset(self.client_lost) { End::ClientBroke } else { End::ClientEnded }
+    }
+
     /// Moves a client that is to be moved, if it can be; then the connection has ended.
     fn moved(&mut self, words: &[u8]) -> Result<(), End> {
         let Some((since, why)) = self.notes.moving else { return Ok(()) };
@@ -337,23 +349,27 @@
     fn say_move(&mut self, words: &[u8]) -> bool {
         if !self.link.over && self.framer.is_between() {
             self.link.over = true;
-            // A client that broke off needs no word; its connection is wound up either way.
-            let _ = self.link.out.send(&self.link.client, &[words]);
+            self.tell_client(&[words]);
         }
         self.link.over
     }
 
     /// What the server still says goes on to a client that has only ended its sending; an error once it has ended.
-    pub fn hear_out(&mut self, words: &[u8]) -> Result<(), End> {
+    pub fn hear_out(&mut self, side: Side, words: &[u8]) -> Result<(), End> {
         if self.link.over {
             return Err(End::Moved);
         }
-        self.ready(Side::Server, words)
+        match side {
+            // It has ended its sending: there is nothing to be read, and what waits for it is to be written.
+            Side::Client => self.flush(Side::Client),
+            Side::Server => self.ready(Side::Server, words)?,
+        }
+        if self.client_lost.is_some() { Err(End::ClientBroke) } else { Ok(()) }
     }
 
-    /// Ends both sides the way that the connection ended. What comes of it is the client, which is to be read until
-    /// it ends, and the server, which is to be kept until then; nothing where both were reset.
-    pub fn wind_up(mut self, end: End) -> Option<(Link, TcpStream)> {
+    /// Ends both sides the way that the connection ended. What comes of it are the client and the server, which are
+    /// to be read until they end; nothing where both were reset.
+    pub fn wind_up(mut self, end: End) -> Option<(Lingering, Lingering)> {
         match end {
             End::ClientBroke => {
                 net::reset(&self.server);
@@ -365,22 +381,39 @@
                 return None;
             }
             End::ClientFault(words) if !self.link.over && self.framer.is_between() => {
-                let _ = self.link.out.send(&self.link.client, &[words.as_bytes()]);
+                self.tell_client(&[words.as_bytes()]);
             }
             _ => {}
         }
-        net::finish(&self.server);
-        self.link.answer(b"");
-        Some((self.link, self.server))
+        // What the server has not taken is the client's that ends, or that is to move.
+        let server = Lingering::begin(self.server, Outflow::default(), b"");
+        Some((self.link.part(b""), server))
     }
 
     /// Ends the sending to a server whose client has ended its own.
     pub fn finish_server(&mut self) {
-        let _ = self.to_server.flush(&self.server);
+        self.flush(Side::Server);
         net::finish(&self.server);
     }
 }
 
+/// Writes what can be written now. A side that is lost is written to no more.
+fn write(to: &TcpStream, out: &mut Outflow, parts: &[&[u8]], lost: &mut Option<ErrorKind>) {
+    if lost.is_some() {
+        return;
+    }
+    let written = if parts.is_empty() { out.flush(to) } else { out.send(to, parts) };
+    if let Err(error) = written {
+        *lost = Some(error.kind());
+        *out = Outflow::default();
+    }
+}
+
+/// Whether a side that can be written to no more was reset. One that had ended in order breaks a pipe.
+fn was_reset(lost: Option<ErrorKind>) -> bool {
+    lost.is_some_and(|kind| kind != ErrorKind::BrokenPipe)
+}
+
 impl Notes {
     /// For how long the oldest question has been unanswered.
     fn unanswered_for(&self) -> Duration {
--- a/balancer/src/stages/take_in.rs
+++ b/balancer/src/stages/take_in.rs
@@ -6,71 +6,77 @@
 use std::net::{TcpListener, TcpStream};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use crossbeam_channel::bounded;
+
 use crate::core::lifecycle::State;
 use crate::core::{Counted, Handle};
 use crate::front::{First, Front, NoOpening, Refusal, Word};
 use crate::log::Bounded;
-use crate::net::{self, Intake, Listener, ReadError};
-use crate::operations;
-use crate::pass::Client;
-use crate::reload::Sockets;
+use crate::net::{self, Intake, Listener, Outflow, ReadError};
+use crate::stages::budget::{Budget, Descriptors};
+use crate::stages::lingering::Lingering;
 use crate::stages::relay::Link;
 use crate::stages::transaction::{Admitted, Desk};
 
-/// Descriptors that are not clients': standard streams, the listener, the watch, the signals', the operations port's.
-const SPARE: usize = 24 + operations::DESCRIPTORS;
-/// Openings hold this part of the descriptors at most.
-const OPENINGS_PART: usize = 5;
 /// A client is not let go for a newcomer before it has had so long to speak. Guards against a site's clients that
 /// all come at once and would push one another out; the newcomers wait to be accepted instead.
 const HEARING: Duration = Duration::from_millis(100);
 /// Clients accepted in one turn, so that those accepted before are heard in between.
 const BATCH: usize = 32;
-/// A client that was refused is kept for so long, unread, so that its answer is not lost to a reset.
+/// Nobody is accepted for so long after a failure. Guards against a busy loop while there are no descriptors to be
+/// had; those that wait are heard meanwhile.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// A client that rests is ended so long after this program was told to take no more: newcomers come for 0.4 s more, and
+/// a program that leaves stays for 0.7 s at least.
+const RESTS_IN_A_DRAIN: Duration = Duration::from_millis(500);
+/// A client that was not admitted by a thread of its own is read there for so long.
 const LAST_WORD: Duration = Duration::from_millis(200);
 
-/// How many openings may wait, and how many connections may be open, each with its client's descriptor and its
-/// server's. Guards against two processes on one listener that, while one takes the other's place, hold more than the
-/// descriptors of both: each has half of the openings, and room is left for the other's own.
-pub fn budget(sockets: usize, shared: bool) -> (usize, usize) {
-    let processes = if shared { 2 } else { 1 };
-    let openings = (sockets / OPENINGS_PART / processes).max(8);
-    (openings, sockets.saturating_sub(processes * (SPARE + openings)).max(2) / 2)
-}
-
 /// A client that has not opened its connection.
 struct Waiting {
     client: TcpStream,
     intake: Intake,
+    accepted: Instant,
+    /// Its time runs from here: since it was accepted, since it last asked whether clients are taken, or, after that,
+    /// since the beginning of its opening.
     since: Instant,
-    /// It is let go then.
-    until: Instant,
-    /// It has said something that was answered.
+    /// It has asked something that was answered.
     spoke: bool,
-    refused: bool,
 }
 
 /// Accepts clients and hears their openings for as long as the program runs.
 pub fn listen<F: Front>(
     front: &Arc<F>,
     listener: &Listener,
-    (core, sockets): (&Handle, &Sockets),
+    (core, descriptors): (&Handle, &Descriptors),
     transactions: &Desk<F>,
 ) {
-    let refusals = Arc::new(Bounded::default());
-    let (shared, waiting) = (listener.shared, VecDeque::new());
-    let mut door = Door { front, core, sockets, shared, transactions, refusals, waiting };
+    let mut door = Door {
+        front,
+        core,
+        descriptors,
+        transactions,
+        refusals: Arc::new(Bounded::default()),
+        waiting: VecDeque::new(),
+        lingering: VecDeque::new(),
+        accepts_from: Instant::now(),
+        drains_since: None,
+    };
     loop {
+        door.look_at_state();
         let accepts = door.accepts(listener);
         let has_room = accepts && door.has_room();
         let patience = door.patience(has_room || !accepts);
-        let streams = door.waiting.iter().map(Waiting::polled);
-        let (clients, heard) = net::ready_of(has_room.then_some(&listener.socket), streams, patience);
-        // Those that wait come first: one whose opening is there makes room, and is not let go.
-        door.hear(&heard);
+        let waiting = door.waiting.iter().map(|waiting| Some(&waiting.client));
+        let lingering = door.lingering.iter().map(Lingering::polled);
+        let streams = waiting.chain(lingering);
+        let (clients, ready) = net::ready_of(has_room.then_some(&listener.socket), streams, patience);
+        let (heard, ended) = ready.split_at(door.waiting.len());
+        door.read_on(ended);
+        // Those that wait come before those that come: one whose opening is there makes room, and is not let go.
+        door.hear(heard);
         door.let_go();
         if clients && door.accepts(listener) {
             door.accept(&listener.socket);
@@ -83,26 +89,43 @@
 struct Door<'a, F: Front> {
     front: &'a Arc<F>,
     core: &'a Handle,
-    sockets: &'a Sockets,
-    /// Another process may accept from the same listener.
-    shared: bool,
+    descriptors: &'a Descriptors,
     transactions: &'a Desk<F>,
     refusals: Arc<Bounded>,
     /// The oldest first.
     waiting: VecDeque<Waiting>,
+    /// Refused clients, which are read until they end; the oldest first.
+    lingering: VecDeque<Lingering>,
+    /// Nobody is accepted before then.
+    accepts_from: Instant,
+    /// When it was first seen that this program takes no more clients.
+    drains_since: Option<Instant>,
 }
 
 impl Waiting {
-    fn polled(&self) -> Option<&TcpStream> {
-        (!self.refused).then_some(&self.client)
+    fn new(client: TcpStream, longest: usize) -> Waiting {
+        let now = Instant::now();
+        Waiting { client, intake: Intake::new(longest), accepted: now, since: now, spoke: false }
+    }
+
+    /// Whether it has been answered and said nothing since.
+    fn rests(&self) -> bool {
+        self.spoke && self.intake.bytes().is_empty()
+    }
+
+    /// Whether it has had its time to speak.
+    fn is_heard(&self) -> bool {
+        self.accepted.elapsed() >= HEARING
     }
 
-    /// Says its last word to a client; it is kept for a moment.
-    fn refuse(&mut self, answer: &[u8]) {
-        let _ = net::write_gathered(&self.client, &[answer]);
-        net::finish(&self.client);
-        self.refused = true;
-        self.until = Instant::now() + LAST_WORD;
+    /// It is let go then.
+    fn until(&self, front: &impl Front, drains_since: Option<Instant>) -> Instant {
+        if !self.intake.bytes().is_empty() {
+            return self.since + front.begun_opening_wait();
+        }
+        let until = self.since + front.opening_wait();
+        let drains = drains_since.filter(|_| self.spoke);
+        drains.map_or(until, |since| until.min((since + RESTS_IN_A_DRAIN).max(self.accepted + HEARING)))
     }
 }
 
@@ -115,45 +138,56 @@
 }
 
 impl<F: Front> Door<'_, F> {
-    /// Until the next client is to be let go, or may be.
+    /// Until the next client is to be let go, or may be, or newcomers are accepted again.
     fn patience(&self, has_room: bool) -> Duration {
-        let heard = |waiting: &Waiting| if has_room { waiting.until } else { waiting.since + HEARING };
-        let next = self.waiting.iter().map(heard).min();
-        let left = next.map(|until| until.saturating_duration_since(Instant::now()));
-        left.unwrap_or(Duration::from_secs(1)).max(Duration::from_millis(1)).min(Duration::from_secs(1))
+        let now = Instant::now();
+        let heard = |waiting: &Waiting| {
+            if has_room {
+                waiting.until(&**self.front, self.drains_since)
+            } else {
+                waiting.accepted + HEARING
+            }
+        };
+        let next = self.waiting.iter().map(heard).chain(self.lingering.iter().map(Lingering::until)).min();
+        let left = next.map_or(Duration::from_secs(1), |until| until.saturating_duration_since(now));
+        let paused = self.accepts_from.saturating_duration_since(now);
+        let left = if paused.is_zero() { left } else { left.min(paused) };
+        left.clamp(Duration::from_millis(1), Duration::from_secs(1))
     }
 
-    fn budget(&self) -> (usize, usize) {
-        budget(self.sockets.load(Ordering::Relaxed), self.shared)
+    fn budget(&self) -> Budget {
+        self.descriptors.budget()
     }
 
     /// Whether newcomers are this process's to accept: one that leaves a shared listener leaves them to the others.
     fn accepts(&self, listener: &Listener) -> bool {
-        !listener.shared || self.core.shown().state() != State::Leaving
+        let leaves = self.core.shown().state() == State::Leaving;
+        (!listener.shared || !leaves) && Instant::now() >= self.accepts_from
     }
 
-    /// Tells how many clients have not been heard out. Guards against a program that leaves them unanswered.
+    /// Looks whether this program still takes clients.
+    fn look_at_state(&mut self) {
+        match self.core.shown().state() {
+            State::Starting | State::Serving => self.drains_since = None,
+            State::Standby | State::Leaving => drop(self.drains_since.get_or_insert_with(Instant::now)),
+        }
+    }
+
+    /// Tells how many clients have not been heard out, or have not had the end of their last word. Guards against a
+    /// program that leaves them unanswered.
     fn tell_openings(&self) {
-        let unheard =
-            |waiting: &&Waiting| !(waiting.refused || waiting.spoke && waiting.intake.bytes().is_empty());
-        self.core.shown().has_openings(self.waiting.iter().filter(unheard).count());
+        self.core.shown().has_openings(self.waiting.len() + self.lingering.len());
     }
 
     /// Whether one more client can be accepted, if need be for another's place.
     fn has_room(&self) -> bool {
-        let (openings, _) = self.budget();
-        self.waiting.len() < openings || self.dispensable().is_some()
+        self.waiting.len() < self.budget().openings || self.dispensable().is_some()
     }
 
-    /// The client that makes room first: one that has had its last word, the one that has been silent longest, or
-    /// the oldest.
+    /// The client that makes room first: the one that has been silent longest, or the oldest.
     fn dispensable(&self) -> Option<usize> {
-        let refused = self.waiting.iter().position(|waiting| waiting.refused);
-        let heard = |waiting: &Waiting| waiting.since.elapsed() >= HEARING;
-        let silent = |waiting: &Waiting| heard(waiting) && waiting.intake.bytes().is_empty();
-        refused
-            .or_else(|| self.waiting.iter().position(silent))
-            .or_else(|| self.waiting.iter().position(heard))
+        let silent = |waiting: &Waiting| waiting.is_heard() && waiting.intake.bytes().is_empty();
+        self.waiting.iter().position(silent).or_else(|| self.waiting.iter().position(Waiting::is_heard))
     }
 
     fn accept(&mut self, listener: &TcpListener) {
@@ -166,8 +200,8 @@
                 Err(error) if net::is_wait(&error) => return,
                 Err(error) => {
                     self.refusals.warn(self.front.name(), "accept failed", &error);
-                    // Guards against a busy loop while there are no descriptors to be had.
-                    return std::thread::sleep(Duration::from_millis(10));
+                    self.accepts_from = Instant::now() + ACCEPT_PAUSE;
+                    return;
                 }
             };
             self.make_room();
@@ -176,22 +210,39 @@
             }
             // A client that takes no greeting is let go with the others that say nothing.
             let _ = net::write_gathered(&client, &[&self.front.greet()]);
-            let (intake, since) = (Intake::new(self.front.longest_opening()), Instant::now());
-            let until = since + self.front.opening_wait();
-            self.waiting.push_back(Waiting { client, intake, since, until, spoke: false, refused: false });
+            self.waiting.push_back(Waiting::new(client, self.front.longest_opening()));
         }
     }
 
     /// Guards against hundreds that connect and say nothing: the one that has been silent longest makes room.
     fn make_room(&mut self) {
-        let (openings, _) = self.budget();
+        let openings = self.budget().openings;
         let place = self.dispensable().filter(|_| self.waiting.len() >= openings);
         let Some(waiting) = place.and_then(|place| self.waiting.remove(place)) else { return };
-        if !waiting.refused {
-            let _ = net::write_gathered(&waiting.client, &[&self.front.say(Word::Unavailable(None))]);
-            net::finish(&waiting.client);
-            self.refusals.warn(self.front.name(), "too many openings", &"the oldest was let go");
+        self.refuse(waiting.client, &self.front.say(Word::Unavailable(None)));
+        self.refusals.warn(self.front.name(), "too many openings", &"the oldest was let go");
+    }
+
+    /// Says its last word to a client, and has it read until it ends.
+    fn refuse(&mut self, client: TcpStream, answer: &[u8]) {
+        self.linger(Lingering::begin(client, Outflow::default(), answer));
+    }
+
+    /// Has a client read until it ends; where there are too many of them, the oldest is closed.
+    fn linger(&mut self, client: Lingering) {
+        self.lingering.push_back(client);
+        let most = self.budget().lingering;
+        while self.lingering.len() > most {
+            self.lingering.pop_front();
+        }
+    }
+
+    /// Reads refused clients on that have said something, and closes those that have ended.
+    fn read_on(&mut self, ready: &[bool]) {
+        for (client, _) in self.lingering.iter_mut().zip(ready).filter(|(_, ready)| **ready) {
+            client.ready();
         }
+        self.lingering.retain(|client| !client.is_over());
     }
 
     /// Hears the clients that have something to say.
@@ -202,93 +253,149 @@
                 place += 1;
                 continue;
             };
-            let (front, core) = (self.front, self.core);
-            // Guards against a fault in the reading of one opening that would end the listener.
-            let became = catch_unwind(AssertUnwindSafe(|| hear(&**front, waiting, core)));
-            match became.unwrap_or_else(|_| Heard::Refused(front.no_opening(NoOpening::TooLong))) {
-                Heard::Waits => place += 1,
-                Heard::Gone => drop(self.waiting.remove(place)),
-                Heard::Refused(Refusal { answer, why }) => {
-                    self.refusals.warn(front.name(), "opening refused", &why);
-                    waiting.refuse(&answer);
-                    place += 1;
-                }
-                Heard::Opened(request) => {
-                    if let Some(Waiting { client, intake, .. }) = self.waiting.remove(place) {
-                        self.open(client, request, intake);
-                    }
-                }
+            let became = hear_guarded(&**self.front, waiting, self.core);
+            if matches!(became, Heard::Waits) {
+                place += 1;
+            } else if let Some(waiting) = self.waiting.remove(place) {
+                self.follow(waiting, became);
+            }
+        }
+    }
+
+    /// Does what a client that was heard asks for. It waits no more.
+    fn follow(&mut self, waiting: Waiting, became: Heard<F::Request>) {
+        match became {
+            Heard::Refused(Refusal { answer, why }) => {
+                self.refusals.warn(self.front.name(), "opening refused", &why);
+                self.refuse(waiting.client, &answer);
             }
+            Heard::Opened(request) => self.open(waiting.client, request, waiting.intake),
+            Heard::Gone | Heard::Waits => {}
         }
     }
 
     /// Has a client admitted.
     fn open(&mut self, client: TcpStream, request: F::Request, intake: Intake) {
-        let (_, most) = self.budget();
-        let unavailable = self.front.say(Word::Unavailable(None));
-        let Some(counted) = self.core.count_in(most) else {
+        let Some(counted) = self.core.count_in(self.budget().connections) else {
             self.refusals.warn(self.front.name(), "too many connections", &"one was turned away");
-            let _ = net::write_gathered(&client, &[&unavailable]);
-            return net::finish(&client);
+            return self.refuse(client, &self.front.say(Word::Unavailable(None)));
         };
         let link = Link::new(&**self.front, client, intake.into_rest());
-        if !F::ADMIT_WAITS {
-            return admit(&**self.front, link, request, counted, (self.transactions, &self.refusals));
+        let admission = Admission { link, request, counted };
+        if F::ADMIT_WAITS {
+            return self.admit_on_a_thread(admission);
         }
+        if let Some(refused) = admit(&**self.front, admission, (self.transactions, &self.refusals)) {
+            self.linger(refused);
+        }
+    }
+
+    /// Has a client admitted where that may wait for something.
+    fn admit_on_a_thread(&mut self, admission: Admission<F>) {
         let (front, refusals) = (Arc::clone(self.front), Arc::clone(&self.refusals));
         let transactions = self.transactions.clone();
-        let run = move || admit(&*front, link, request, counted, (&transactions, &refusals));
+        let (give, take) = bounded::<Admission<F>>(1);
+        let run = move || {
+            let Ok(admission) = take.recv() else { return };
+            if let Some(refused) = admit(&*front, admission, (&transactions, &refusals)) {
+                net::drain(refused.stream(), LAST_WORD);
+            }
+        };
         let named = std::thread::Builder::new().name("admit".into()).stack_size(self.front.stack());
-        if let Err(error) = named.spawn(run) {
-            // The client went with the thread that was not had.
-            self.refusals.warn(self.front.name(), "no thread", &error);
+        let unserved = match named.spawn(run) {
+            Ok(_) => give.send(admission).err().map(|unsent| unsent.into_inner()),
+            Err(error) => {
+                self.refusals.warn(self.front.name(), "no thread", &error);
+                Some(admission)
+            }
+        };
+        if let Some(Admission { link, .. }) = unserved {
+            self.linger(link.part(&self.front.say(Word::Unavailable(None))));
         }
     }
 
     /// Lets those go whose time is up.
     fn let_go(&mut self) {
         let now = Instant::now();
-        self.waiting.retain(|waiting| !waiting.refused || now < waiting.until);
-        for waiting in self.waiting.iter_mut().filter(|waiting| now >= waiting.until) {
-            if waiting.spoke && waiting.intake.bytes().is_empty() {
-                // The check that a balancer lives, kept open: it ends without a word.
-                waiting.refuse(&[]);
+        let mut place = 0;
+        while let Some(waiting) = self.waiting.get_mut(place) {
+            if now < waiting.until(&**self.front, self.drains_since) {
+                place += 1;
+                continue;
+            }
+            // Guards against an opening that came since the wait, and that its client's end would cross: it is heard.
+            let became = hear_guarded(&**self.front, waiting, self.core);
+            let late = now >= waiting.until(&**self.front, self.drains_since);
+            if matches!(became, Heard::Waits) && !late {
+                place += 1;
                 continue;
             }
-            let Refusal { answer, why } = self.front.no_opening(NoOpening::Late);
-            self.refusals.warn(self.front.name(), "opening refused", &why);
-            waiting.refuse(&answer);
+            let Some(waiting) = self.waiting.remove(place) else { return };
+            if matches!(became, Heard::Waits) {
+                self.end(waiting);
+            } else {
+                self.follow(waiting, became);
+            }
+        }
+        self.lingering.retain(|client| !client.is_over());
+    }
+
+    /// Ends a client that has not opened its connection in time. One that rests has done no wrong: it is told to come
+    /// again, which answers an opening of it that crosses this end.
+    fn end(&mut self, waiting: Waiting) {
+        if waiting.rests() {
+            return self.refuse(waiting.client, &self.front.say(Word::Unavailable(None)));
         }
+        let Refusal { answer, why } = self.front.no_opening(NoOpening::Late);
+        self.refusals.warn(self.front.name(), "opening refused", &why);
+        self.refuse(waiting.client, &answer);
     }
 }
 
-/// Brings a client to the transactions, if its front admits it.
-fn admit<F: Front>(
-    front: &F,
-    mut link: Link,
+/// A client whose opening is sound.
+struct Admission<F: Front> {
+    link: Link,
     request: F::Request,
     counted: Counted,
+}
+
+/// Brings a client to the transactions, if its front admits it; else it has had its last word.
+fn admit<F: Front>(
+    front: &F,
+    Admission { link, request, counted }: Admission<F>,
     (transactions, refusals): (&Desk<F>, &Bounded),
-) {
+) -> Option<Lingering> {
     match front.admit(request) {
-        Ok((opening, greeting)) => transactions.admit(Admitted { link, opening, greeting, counted }),
+        Ok((opening, greeting)) => {
+            transactions.admit(Admitted { link, opening, greeting, counted });
+            None
+        }
         Err(Refusal { answer, why }) => {
             refusals.warn(front.name(), "opening refused", &why);
-            link.answer(&answer);
-            net::drain(link.stream(), LAST_WORD);
+            Some(link.part(&answer))
         }
     }
 }
 
+/// Guards against a fault in the reading of one opening that would end the listener.
+fn hear_guarded<F: Front>(front: &F, waiting: &mut Waiting, core: &Handle) -> Heard<F::Request> {
+    let became = catch_unwind(AssertUnwindSafe(|| hear(front, waiting, core)));
+    became.unwrap_or_else(|_| Heard::Refused(front.no_opening(NoOpening::TooLong)))
+}
+
 /// Reads on, once, and makes of it what can be made.
 fn hear<F: Front>(front: &F, waiting: &mut Waiting, core: &Handle) -> Heard<F::Request> {
-    let Waiting { client, intake, spoke, .. } = waiting;
+    let rested = waiting.rests();
+    let Waiting { client, intake, since, spoke, .. } = waiting;
     match intake.read(client, Instant::now()) {
         Ok(()) => {}
         Err(ReadError::TimedOut) => return Heard::Waits,
         Err(ReadError::Ended | ReadError::Broken(_)) => return Heard::Gone,
         Err(ReadError::TooLong) => return Heard::Refused(front.no_opening(NoOpening::TooLong)),
     }
+    if rested {
+        *since = Instant::now();
+    }
     while let Some(line) = intake.whole_line() {
         let reply = match front.first(&line, core.clock().now()) {
             First::Reply(words) => words,
@@ -306,19 +413,3 @@
     }
     if intake.is_full() { Heard::Refused(front.no_opening(NoOpening::TooLong)) } else { Heard::Waits }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn two_processes_on_one_listener_stay_within_the_descriptors_of_both() {
-        for sockets in [192, 256, 384, 1024, 4096] {
-            let (openings, connections) = budget(sockets, true);
-            // One is full, the other has all its openings and what stands there besides clients.
-            assert!(2 * (SPARE + openings) + 2 * connections <= sockets, "{sockets}");
-            let (alone, more) = budget(sockets, false);
-            assert!(SPARE + alone + 2 * more <= sockets && alone >= openings && more >= connections);
-        }
-    }
-}
--- a/balancer/src/stages/transaction.rs
+++ b/balancer/src/stages/transaction.rs
@@ -7,7 +7,6 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::io;
-use std::net::TcpStream;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -19,16 +18,20 @@
 use crate::core::{ApplicationServer, Carrier, Counted, Event, Handle, Opening, Order};
 use crate::front::{First, Front, Word};
 use crate::handover::{Given, Giver, Place};
-use crate::net::{self, ReadError};
+use crate::net::{self, Outflow, ReadError};
 use crate::pass::{Answer, Client, End, PassError};
 use crate::poller::{Bell, EventFlags, Poller};
+use crate::stages::lingering::Lingering;
 use crate::stages::relay::{Link, Side, Standing};
 use crate::stages::send::{self, Passed};
 
 /// What is due without a side being ready is looked for this often.
 const LOOK: Duration = Duration::from_millis(100);
-/// An ended connection is read for so long, so that its last line is not lost to a reset.
-const LINGER: Duration = Duration::from_millis(500);
+/// A server is heard out for so long once its client has ended its sending.
+const HEARING_OUT: Duration = Duration::from_millis(500);
+
+/// Numbers of connections that the core never heard of begin below this one; two tokens are made of each number.
+const LAST_UNBOOKED: u64 = u64::MAX / 2;
 
 /// A client that has been admitted.
 pub struct Admitted<F: Front> {
@@ -103,12 +106,15 @@
     Standing(Box<Standing>),
     /// The client has ended its sending; the server is heard out until then.
     HearingOut(Box<Standing>, Instant),
-    /// The client has had its last word and is read until it ends, until then at the latest.
-    LastWord(Link, Option<TcpStream>, Instant),
+    /// The last word has been said; the client, and the server of a connection that stood, are read until they end.
+    Lingering(Lingering, Option<Lingering>),
     /// It is over.
     Over,
 }
 
+/// A client that is given to a pass, with what is said for it.
+type Lent<F> = Option<(Link, Arc<<F as Front>::Greeting>)>;
+
 struct Transaction<F: Front> {
     id: u64,
     /// Let go before the client hears of its end. Guards against a client that comes again at once and finds what
@@ -147,6 +153,7 @@
         inbox,
         desk: Arc::new(desk.clone()),
         open: HashMap::new(),
+        unbooked: LAST_UNBOOKED,
         giver: None,
         ungiven: Vec::new(),
     };
@@ -160,6 +167,8 @@
     inbox: Receiver<Brought<F>>,
     desk: Arc<Desk<F>>,
     open: HashMap<u64, Transaction<F>>,
+    /// The latest number of a connection that the core never heard of. They count down, the core's count up.
+    unbooked: u64,
     /// The way to the process that takes this one's place, once it has been looked for.
     giver: Option<Option<Giver>>,
     /// Connections that could not be given just now; each look tries them again.
@@ -196,11 +205,17 @@
             Brought::Admitted(admitted) => {
                 let Admitted { link, opening, greeting, counted } = *admitted;
                 let id = self.shared.core.open(opening, Arc::clone(&self.desk) as Arc<dyn Carrier>);
-                self.enter(id, greeting, (Phase::Waiting(link), None), counted);
+                self.enter(id, Some(greeting), (Phase::Waiting(link), None), counted);
             }
             Brought::Ordered(id, Order::Pass { to, within }) => {
-                let lent = self.open.get_mut(&id).and_then(|transaction| transaction.lend(&self.poller, &to));
-                let Some((link, greeting)) = lent else { return };
+                let lent = self.open.get_mut(&id).map(|transaction| transaction.lend(&self.poller, &to));
+                let (link, greeting) = match lent {
+                    Some(Ok(Some(lent))) => lent,
+                    // Guards against a request that the core holds to be sent and nobody sends.
+                    Some(Err(_)) => return self.with(id, |transaction, shared| transaction.panicked(shared)),
+                    // The client left, or has had its last word: the core hears of it.
+                    Some(Ok(None)) | None => return,
+                };
                 if let Err(failed) = pass(&self.shared, &self.desk, (id, link, greeting), to, within) {
                     let (link, error) = *failed;
                     let error = PassError::NotConnected(error);
@@ -274,27 +289,29 @@
             First::Opening(request) => front.admit(request).ok(),
             _ => None,
         };
-        let mut link = Link::new(&**front, client, Vec::new());
+        let link = Link::new(&**front, client, Vec::new());
         let Some((opening, greeting)) = read else {
             warn!(part = front.name(), "a connection handed over could not be read");
-            net::finish(&server);
-            return link.answer(moving);
+            let server = Lingering::begin(server, Outflow::default(), b"");
+            let phase = Phase::Lingering(link.part(moving), Some(server));
+            self.unbooked -= 1;
+            return self.enter(self.unbooked, None, (phase, None), counted);
         };
         let (opening, at) = (Opening { held_by: None, ..opening }, Arc::from(at));
         let id = core.adopt(opening, Arc::clone(&at), Arc::clone(&self.desk) as Arc<dyn Carrier>);
         let standing = Standing::new(&**front, link, server, core, id);
-        self.enter(id, greeting, (Phase::Standing(Box::new(standing)), Some(at)), counted);
+        self.enter(id, Some(greeting), (Phase::Standing(Box::new(standing)), Some(at)), counted);
     }
 
     /// Serves one more transaction.
     fn enter(
         &mut self,
         id: u64,
-        greeting: F::Greeting,
+        greeting: Option<F::Greeting>,
         (phase, at): (Phase, Option<Arc<str>>),
         _counted: Counted,
     ) {
-        let (greeting, begun) = (Some(Arc::new(greeting)), Instant::now());
+        let (greeting, begun) = (greeting.map(Arc::new), Instant::now());
         let watched = (EventFlags::empty(), EventFlags::empty());
         self.open.insert(id, Transaction { id, greeting, phase, at, begun, watched, _counted });
         self.with(id, |_, _| ());
@@ -344,20 +361,20 @@
 
 impl<F: Front> Transaction<F> {
     /// Gives the client to a pass, which looks after it from now on.
-    fn lend(&mut self, poller: &Poller, to: &ApplicationServer) -> Option<(Link, Arc<F::Greeting>)> {
-        let Phase::Waiting(link) = &self.phase else { return None };
-        let greeting = Arc::clone(self.greeting.as_ref()?);
+    fn lend(&mut self, poller: &Poller, to: &ApplicationServer) -> io::Result<Lent<F>> {
+        let (Phase::Waiting(link), Some(greeting)) = (&self.phase, &self.greeting) else { return Ok(None) };
+        let greeting = Arc::clone(greeting);
         let nothing = EventFlags::empty();
         // One that can't be left alone would cut the waits of all others short.
-        poller.watch(link.stream(), self.id * 2, (self.watched.0, nothing)).ok()?;
+        poller.watch(link.stream(), self.id * 2, (self.watched.0, nothing))?;
         self.watched = (nothing, nothing);
         self.begun = Instant::now();
         self.at = Some(Arc::clone(&to.name));
         let passing = Phase::Passing(None, link.give_up());
         let Phase::Waiting(link) = std::mem::replace(&mut self.phase, passing) else {
-            return None;
+            return Ok(None);
         };
-        Some((link, greeting))
+        Ok(Some((link, greeting)))
     }
 
     fn ready(&mut self, side: Side, shared: &Shared<F>) {
@@ -372,14 +389,17 @@
                 self.go_on(went, shared);
             }
             Phase::HearingOut(standing, _) => {
-                if standing.hear_out(&shared.moving).is_err() {
+                if standing.hear_out(side, &shared.moving).is_err() {
                     self.wound_up(End::ClientEnded);
                 }
             }
-            Phase::LastWord(link, ..) => {
-                if !link.linger() {
-                    self.phase = Phase::Over;
+            Phase::Lingering(client, server) => {
+                match (side, server) {
+                    (Side::Client, _) => client.ready(),
+                    (Side::Server, Some(server)) => server.ready(),
+                    (Side::Server, None) => {}
                 }
+                self.close_if_over();
             }
             Phase::Passing(..) | Phase::Over => {}
         }
@@ -392,7 +412,7 @@
                 self.go_on(went, shared);
             }
             Phase::HearingOut(_, until) if Instant::now() >= *until => self.wound_up(End::ClientEnded),
-            Phase::LastWord(_, _, until) if Instant::now() >= *until => self.phase = Phase::Over,
+            Phase::Lingering(..) => self.close_if_over(),
             _ => {}
         }
     }
@@ -451,7 +471,7 @@
         if end == End::ClientEnded {
             if let Phase::Standing(mut standing) = std::mem::replace(&mut self.phase, Phase::Over) {
                 standing.finish_server();
-                self.phase = Phase::HearingOut(standing, Instant::now() + LINGER);
+                self.phase = Phase::HearingOut(standing, Instant::now() + HEARING_OUT);
             }
         } else {
             self.wound_up(end);
@@ -464,8 +484,16 @@
         else {
             return;
         };
-        if let Some((link, server)) = standing.wind_up(end) {
-            self.phase = Phase::LastWord(link, Some(server), Instant::now() + LINGER);
+        if let Some((client, server)) = standing.wind_up(end) {
+            self.phase = Phase::Lingering(client, Some(server));
+        }
+    }
+
+    /// Closes both sides once they have ended, or their time is up.
+    fn close_if_over(&mut self) {
+        let Phase::Lingering(client, server) = &self.phase else { return };
+        if client.is_over() && server.as_ref().is_none_or(Lingering::is_over) {
+            self.phase = Phase::Over;
         }
     }
 
@@ -481,9 +509,8 @@
 
     fn answer(&mut self, word: Word, shared: &Shared<F>) {
         self.greeting = None;
-        if let Phase::Waiting(mut link) = std::mem::replace(&mut self.phase, Phase::Over) {
-            link.answer(&shared.front.say(word));
-            self.phase = Phase::LastWord(link, None, Instant::now() + LINGER);
+        if let Phase::Waiting(link) = std::mem::replace(&mut self.phase, Phase::Over) {
+            self.phase = Phase::Lingering(link.part(&shared.front.say(word)), None);
         }
     }
 
@@ -491,7 +518,7 @@
         error!(part = shared.front.name(), transaction = self.id, "transaction panicked");
         shared.core.tell(Event::Lost(self.id));
         self.answer(Word::Failed, shared);
-        if !matches!(self.phase, Phase::LastWord(..)) {
+        if !matches!(self.phase, Phase::Lingering(..)) {
             self.phase = Phase::Over;
         }
     }
@@ -508,8 +535,9 @@
         let nothing = EventFlags::empty();
         let (client, server, wanted) = match &self.phase {
             Phase::Waiting(link) => (link.stream(), None, (EventFlags::IN, nothing)),
-            Phase::LastWord(link, server, _) => {
-                (link.stream(), server.as_ref(), (link.lingers_for(), nothing))
+            Phase::Lingering(client, server) => {
+                let wants_server = server.as_ref().map_or(nothing, Lingering::wants);
+                (client.stream(), server.as_ref().map(Lingering::stream), (client.wants(), wants_server))
             }
             Phase::Standing(standing) => {
                 let (client, server) = standing.sides();
--- /dev/null
+++ b/cli/tests/connections.rs
@@ -0,0 +1,333 @@
+//! Stories of what arrives in the very moment in which a connection is shut or closed, on either side.
+
+mod support;
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use socket2::{Domain, SockRef, Socket, Type};
+use support::site::Site;
+use support::*;
+
+/// Longer than the program reads a peer that has had its last word, and shorter than a test may take.
+const BEYOND_LINGER: Duration = Duration::from_millis(800);
+/// Lines of over two reads of the program.
+const THREE_READS: usize = 10 * 1024;
+
+/// Whether the connection is not reset for so long. A reset that comes behind an end shows only as an error.
+fn is_not_reset(peer: &Peer, span: Duration) -> bool {
+    let until = Instant::now() + span;
+    while Instant::now() < until {
+        if peer.stream.take_error().expect("open").is_some() {
+            return false;
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    true
+}
+
+/// Lines of together so many bytes, or a few more.
+fn lines(bytes: usize) -> String {
+    let line = format!("M {}\r\n", "x".repeat(100));
+    line.repeat(bytes / line.len() + 1)
+}
+
+/// Stops the program, has peers do something, and lets it go on: it finds all of it at once.
+fn meanwhile(site: &Site, act: impl FnOnce()) {
+    let state = || {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", site.program.pid())).expect("it runs");
+        stat.rsplit(") ").next().and_then(|rest| rest.chars().next())
+    };
+    site.program.signal("STOP");
+    while state() != Some('T') {
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    act();
+    site.program.signal("CONT");
+}
+
+/// A client that has asked whether clients are taken, and rests.
+fn rests(at: SocketAddr) -> Peer {
+    let mut client = Peer::connect(at);
+    client.say("PING\r\n");
+    client.hears("PONG");
+    client
+}
+
+#[test]
+fn a_request_that_crosses_the_end_of_a_resting_connection_is_answered_and_not_sent_on() {
+    let site = Site::start("crosses", 1);
+    let mut client = rests(site.at);
+    client.hears("BUSY");
+    // It was written before the client read the end.
+    client.say("OPEN b1 02 c=chat,t=acme,d=2500,g=3\r\n");
+    client.ended();
+    assert!(is_not_reset(&client, BEYOND_LINGER), "its answer is not destroyed");
+    site.servers[0].set_nonblocking(true).expect("open");
+    assert!(site.servers[0].accept().is_err(), "nothing was sent on");
+}
+
+#[test]
+fn a_request_that_is_there_when_a_resting_connection_is_due_to_end_is_served() {
+    let site = Site::start("due", 1);
+    let mut client = rests(site.at);
+    meanwhile(&site, || {
+        // Its end is due when the program looks next, and its opening lies there.
+        std::thread::sleep(Duration::from_millis(1_700));
+        client.say("OPEN b1 02 c=chat,t=acme,d=2500,g=3\r\n");
+    });
+    let mut server = Peer::accept(&site.servers[0]);
+    server.hear().expect("an opening");
+    server.say("UP r1\r\n");
+    client.hears("UP r1");
+}
+
+#[test]
+fn whoever_goes_on_asking_is_not_ended_between_two_questions() {
+    let site = Site::start("asking", 1);
+    let mut client = rests(site.at);
+    let until = Instant::now() + Duration::from_millis(2_500);
+    while Instant::now() < until {
+        client.say("PING\r\n");
+        client.hears("PONG");
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    client.say("OPEN b1 02 c=chat,t=acme,d=2500,g=3\r\n");
+    let mut server = Peer::accept(&site.servers[0]);
+    server.hear().expect("an opening");
+    server.say("UP r1\r\n");
+    client.hears("UP r1");
+}
+
+#[test]
+fn at_a_planned_restart_resting_connections_are_answered_before_the_program_leaves() {
+    let mut site = Site::start("restart", 1);
+    let mut clients: Vec<Peer> = (0..5).map(|_| rests(site.at)).collect();
+    site.program.signal("TERM");
+    for client in &mut clients {
+        client.hears("BUSY");
+        client.say("OPEN b1 02 c=chat,t=acme,d=2500,g=3\r\n");
+        client.ended();
+        assert!(client.stream.take_error().expect("open").is_none(), "its answer is not destroyed");
+        client.finish();
+    }
+    assert!(site.program.left(), "it leaves by itself");
+}
+
+#[test]
+fn an_opening_that_takes_two_seconds_to_write_is_served() {
+    let site = Site::start("slow", 1);
+    let opening = "OPEN b1 02 c=chat,t=acme,d=2500,g=3\r\n";
+    // Also where the client has rested for a while.
+    for (open, id) in [(Peer::connect as fn(SocketAddr) -> Peer, "b1"), (rests, "b2")] {
+        let mut client = open(site.at);
+        client.stream.set_nodelay(true).expect("open");
+        let begun = Instant::now();
+        for (number, byte) in (0_u32..).zip(opening.replace("b1", id).chars()) {
+            let due =
+                begun + Duration::from_millis(1_900) * number / u32::try_from(opening.len()).expect("short");
+            std::thread::sleep(due.saturating_duration_since(Instant::now()));
+            client.say(&byte.to_string());
+        }
+        let mut server = Peer::accept(&site.servers[0]);
+        server.hear().expect("an opening");
+        server.say("UP r1\r\n");
+        client.hears("UP r1");
+    }
+}
+
+#[test]
+fn a_refused_client_that_goes_on_sending_keeps_its_answer() {
+    let site = Site::start("refused", 1);
+    let mut client = Peer::connect(site.at);
+    client.say("HELLO\r\n");
+    client.hears("ERR");
+    client.say("more of it\r\n");
+    client.ended();
+    assert!(is_not_reset(&client, BEYOND_LINGER));
+}
+
+#[test]
+fn a_client_that_made_room_for_a_newcomer_keeps_its_answer_though_its_opening_crosses_it() {
+    let site = Site::start("room", 1);
+    // More than may be open and say nothing, with 256 descriptors.
+    let silent: Vec<Peer> = (0..52).map(|_| Peer::connect(site.at)).collect();
+    std::thread::sleep(Duration::from_millis(200));
+    drop(rests(site.at));
+    let has_answer = |peer: &&mut Peer| {
+        peer.stream.set_nonblocking(true).expect("open");
+        let has = !matches!(peer.stream.peek(&mut [0]), Err(error) if error.kind() == ErrorKind::WouldBlock);
+        peer.stream.set_nonblocking(false).expect("open");
+        has
+    };
+    let mut silent = silent;
+    let last = silent.iter_mut().rev().find(has_answer).expect("one made room");
+    last.say("OPEN b1 02 c=chat,t=acme,d=2500,g=3\r\n");
+    last.hears("BUSY");
+    last.ended();
+    assert!(is_not_reset(last, BEYOND_LINGER));
+}
+
+#[test]
+fn a_client_beyond_the_last_connection_keeps_its_answer() {
+    let mut site = Site::start("beyond", 1);
+    obliges(site.servers.remove(0));
+    let mut standing = Vec::new();
+    let mut refused = loop {
+        let mut client = site.open("chat", "");
+        match client.hear().as_deref() {
+            Some("UP r") => standing.push(client),
+            answer => {
+                assert_eq!(answer, Some("BUSY"), "after {}", standing.len());
+                break client;
+            }
+        }
+    };
+    refused.say("M 1\r\n");
+    refused.ended();
+    assert!(is_not_reset(&refused, BEYOND_LINGER));
+}
+
+#[test]
+fn a_servers_last_line_reaches_its_client_though_the_clients_lines_cross_its_end() {
+    for last in ["MOVE", "BYE"] {
+        let site = Site::start(&format!("last{last}"), 1);
+        let (mut client, mut server) = site.stand();
+        meanwhile(&site, || {
+            client.say(&lines(THREE_READS));
+            server.say(&format!("{last}\r\n"));
+            drop(server);
+        });
+        client.hears(last);
+        client.ended();
+        assert!(is_not_reset(&client, BEYOND_LINGER));
+    }
+}
+
+#[test]
+fn a_clients_last_line_and_its_end_reach_the_server_though_the_servers_lines_cross_them() {
+    let site = Site::start("lastline", 1);
+    let (mut client, mut server) = site.stand();
+    meanwhile(&site, || {
+        server.say(&lines(THREE_READS));
+        client.say("the last\r\n");
+        drop(client);
+    });
+    server.hears("the last");
+    server.ended();
+}
+
+#[test]
+fn a_client_that_has_ended_its_sending_takes_what_waits_for_it() {
+    const BYTES: usize = 4 << 20;
+    let site = Site::start("takes", 1);
+    // The system keeps little for this client: the more waits in the program.
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(4 * 1024).expect("open");
+    socket.connect(&site.at.into()).expect("it listens");
+    let mut client = Peer::new(socket.into());
+    client.say("OPEN b1 02 c=chat,t=acme,d=2500,g=3\r\n");
+    let mut server = Peer::accept(&site.servers[0]);
+    server.hear().expect("an opening");
+    server.say("UP r1\r\n");
+    client.hears("UP r1");
+    SockRef::from(&server.stream).set_send_buffer_size(64 * 1024).expect("open");
+    let mut stream = server.stream.try_clone().expect("open");
+    let written = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&written);
+    let writes = std::thread::spawn(move || {
+        for line in lines(BYTES).split_inclusive('\n') {
+            stream.write_all(line.as_bytes()).expect("nobody resets it");
+            count.fetch_add(line.len(), Ordering::SeqCst);
+        }
+    });
+    // The client takes nothing: what lies between the two fills up.
+    let mut before = None;
+    while before != Some(written.load(Ordering::SeqCst)) {
+        before = Some(written.load(Ordering::SeqCst));
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    assert!(!writes.is_finished(), "it waits for the client");
+    client.finish();
+    server.ended();
+    // What had room by chance has gone on; the next that is read of the server waits for the client again.
+    std::thread::sleep(Duration::from_millis(100));
+    SockRef::from(&client.stream).set_recv_buffer_size(1 << 20).expect("open");
+    let mut heard = Vec::new();
+    client.stream.set_read_timeout(Some(PATIENCE)).expect("open");
+    let ended = client.stream.read_to_end(&mut heard);
+    writes.join().expect("all was taken");
+    assert!(ended.is_ok(), "{ended:?}");
+    assert_eq!(heard.len(), written.load(Ordering::SeqCst));
+}
+
+#[test]
+fn a_server_that_speaks_on_after_the_end_is_read_and_not_reset() {
+    let site = Site::start("speakson", 1);
+    let (mut client, mut server) = site.stand();
+    client.finish();
+    server.ended();
+    server.say("late\r\n");
+    client.hears("late");
+    client.ended();
+    server.say("later\r\n");
+    assert!(is_not_reset(&server, Duration::from_millis(300)));
+}
+
+#[test]
+fn an_answer_that_no_line_can_hold_is_an_error_and_the_next_server_is_asked() {
+    let site = Site::start("long", 1);
+    let mut client = site.open("chat", "");
+    for answer in [format!("UP {}\r\n", "x".repeat(4_200)), "x".repeat(9_000)] {
+        let mut server = Peer::accept(&site.servers[0]);
+        server.hear().expect("an opening");
+        server.say(&answer);
+        assert!(server.is_gone());
+    }
+    let mut server = Peer::accept(&site.servers[0]);
+    server.hear().expect("an opening");
+    // With lines behind the answer, and its end, in one segment.
+    server.say("UP r1\r\nLOAD 3\r\nBYE\r\n");
+    drop(server);
+    client.hears("UP r1");
+    client.hears("LOAD 3");
+    client.hears("BYE");
+    client.ended();
+}
+
+#[test]
+fn a_second_answer_of_a_server_that_was_given_up_reaches_nobody() {
+    let site = Site::start("second", 1);
+    let mut client = site.open("chat", "");
+    for first in ["BUSY", "ERR"] {
+        let mut server = Peer::accept(&site.servers[0]);
+        server.hear().expect("an opening");
+        server.say(&format!("{first}\r\nUP forged\r\n"));
+        assert!(server.is_gone());
+    }
+    let mut server = Peer::accept(&site.servers[0]);
+    server.hear().expect("an opening");
+    server.say("UP r1\r\n");
+    client.hears("UP r1");
+    server.say("BYE\r\n");
+    server.finish();
+    client.hears("BYE");
+    client.ended();
+}
+
+#[test]
+fn half_a_line_from_a_server_at_its_end_goes_on_and_the_connection_ends() {
+    let site = Site::start("halfline", 1);
+    let (mut client, mut server) = site.stand();
+    meanwhile(&site, || {
+        server.say("whole\r\nhal");
+        drop(server);
+        client.say("M 1\r\n");
+    });
+    client.hears("whole");
+    client.hears("hal");
+    client.ended();
+}
--- a/cli/tests/support/site.rs
+++ b/cli/tests/support/site.rs
@@ -5,6 +5,9 @@
 
 use super::*;
 
+/// Descriptors that a balancer may hold: the least that the platform gives.
+const SOCKETS: usize = 256;
+
 /// A balancer with application servers `s0`, `s1` and so on.
 pub struct Site {
     pub program: Program,
@@ -30,6 +33,21 @@
 
     /// The same, on other settings.
     pub fn start_on(settings: &str, name: &str, servers: usize, env: &[(&str, &str)]) -> Site {
+        Site::begin(settings, name, servers, env, |env| Program::start(&[], env))
+    }
+
+    /// The same, and the system gives it no more descriptors than its configuration says.
+    pub fn start_limited(settings: &str, name: &str, servers: usize, env: &[(&str, &str)]) -> Site {
+        Site::begin(settings, name, servers, env, |env| Program::start_limited(SOCKETS, env))
+    }
+
+    fn begin(
+        settings: &str,
+        name: &str,
+        servers: usize,
+        env: &[(&str, &str)],
+        start: impl FnOnce(&[(&str, &str)]) -> Program,
+    ) -> Site {
         let (at, discovery) = (free(), Discovery::start());
         let servers: Vec<TcpListener> = (0..servers).map(|_| listener()).collect();
         let names: Vec<String> = (0..servers.len()).map(|number| format!("s{number}")).collect();
@@ -39,12 +57,12 @@
             .map(|(name, server)| (name.as_str(), server.local_addr().expect("bound"), "SERVING"))
             .collect();
         let known = list(1, true, &rows);
-        let config = super::config(at, discovery.address, &known, settings, 256);
+        let config = super::config(at, discovery.address, &known, settings, SOCKETS);
         let path = file(name, &config);
         // As on the platform: the variable goes on naming the first address after a reload.
         let old = discovery.address.to_string();
         let env = [&[("LB_CONFIG", path.as_str()), ("LB_DISCOVERY", &old)], env].concat();
-        let program = Program::start(&[], &env);
+        let program = start(&env);
         program.says("to=serving");
         Site { program, at, servers, discovery, path, config, next: AtomicU32::new(1) }
     }
