Bound the connections for probes by the descriptors that clients leave

Where probes are allowed the prober holds a connection to each server that it asked in the last 20 s, and no part of the descriptors was theirs.

The prober holds what connections leave, less a sixteenth as room for the clients that come next: the connection that was unused longest is closed first. Clients are counted beside what probes hold.

--- a/balancer/src/serve.rs
+++ b/balancer/src/serve.rs
@@ -203,6 +203,9 @@
     let sockets = Sockets::new(config.limits.sockets.into());
     let descriptors = Descriptors::without_probes(Arc::clone(&sockets), shared);
     if let Some(prober) = prober {
+        let (told, parts) = (core.clone(), descriptors.clone());
+        let held = Arc::clone(&descriptors.probes);
+        let prober = prober.within(held, move || parts.room_for_probes(told.connections()));
         let told = core.clone();
         spawn("prober", move || prober.run(|server, answer| told.tell(Event::Probed(server, answer))))?;
     }
--- a/cli/tests/connections.rs
+++ b/cli/tests/connections.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::io::{ErrorKind, Read, Write};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -331,3 +331,65 @@
     client.hears("hal");
     client.ended();
 }
+
+/// A server that takes every opening, and tells its load when asked; for as long as the test runs.
+fn takes_and_tells(server: TcpListener) {
+    std::thread::spawn(move || {
+        while let Ok((stream, _)) = server.accept() {
+            std::thread::spawn(move || {
+                let mut peer = Peer::new(stream);
+                while let Some(line) = peer.hear_or_end() {
+                    let answer: &[u8] =
+                        if line.starts_with("STATS") { b"PONG x0=0.1\r\n" } else { b"UP r\r\n" };
+                    if peer.stream.write_all(answer).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+}
+
+#[test]
+fn idle_clients_and_probes_leave_descriptors_for_the_watch_the_operators_and_a_reload() {
+    const SERVERS: usize = 90;
+    let probes = SETTINGS.replace("\"policy-limits\":{", "\"policy-limits\":{\"may-probe\":true,");
+    let settings =
+        probes.replace("\"rules\"", "\"report\":{\"how\":\"on_probe\",\"names\":[\"x0\",\"q\"]},\"rules\"");
+    let operators = free();
+    let env = [("LB_ADMIN_ADDR", operators.to_string())];
+    let env = env.each_ref().map(|(name, value)| (*name, value.as_str()));
+    let mut site = Site::start_on(&settings, "descriptors", SERVERS, &env);
+    site.servers.drain(..).for_each(takes_and_tells);
+    let held = || std::fs::read_dir(format!("/proc/{}/fd", site.program.pid())).expect("it runs").count();
+    let _first = site.discovery.watch();
+    let mut most = 0;
+    let mut standing = Vec::new();
+    // Until no more are taken; meanwhile servers are asked for their loads.
+    for _ in 0..300 {
+        let mut client = site.open("chat", "");
+        let answer = client.hear();
+        most = most.max(held());
+        match answer.as_deref() {
+            Some("UP r") => standing.push(client),
+            _ => std::thread::sleep(Duration::from_millis(5)),
+        }
+    }
+    assert!(standing.len() > 40, "{} stand", standing.len());
+    let silent: Vec<Peer> = (0..200)
+        .map(|_| {
+            most = most.max(held());
+            Peer::connect(site.at)
+        })
+        .collect();
+    // The watch that falls silent is opened anew, the file is read anew, operators are answered.
+    site.discovery.falls_silent();
+    site.discovery.watch();
+    site.program.signal("HUP");
+    site.program.says("nothing has changed");
+    let status = Api { at: operators, token: "none is wanted" }.call("GET", "/status", "");
+    assert_eq!(status.status, 200, "{}", status.body);
+    most = most.max(held());
+    assert!(most <= 256, "{most} descriptors");
+    drop(silent);
+}
