--- a/balancer/src/prober.rs
+++ b/balancer/src/prober.rs
@@ -7,6 +7,7 @@
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use beaconflow::api::ServerId;
@@ -71,6 +72,10 @@
     question: Question,
     /// An answer that is not there by then is none.
     patience: Box<dyn Fn() -> Duration + Send>,
+    /// How many connections are held, for whoever parts the descriptors.
+    held: Arc<AtomicUsize>,
+    /// How many may be held now.
+    room: Box<dyn Fn() -> usize + Send>,
 }
 
 impl Prober {
@@ -83,7 +88,15 @@
         let (ask, asks) = unbounded();
         let poller = Poller::new()?;
         let way = Way { asks: ask, bell: poller.bell() };
-        Ok((Prober { asks, poller, lines: BTreeMap::new(), question, patience }, way))
+        let (lines, held) = (BTreeMap::new(), Arc::default());
+        let room = Box::new(|| usize::MAX);
+        Ok((Prober { asks, poller, lines, question, patience, held, room }, way))
+    }
+
+    /// Has it tell how many connections it holds, and hold no more than there is room for. Guards against connections
+    /// to servers, to discovery or from operators that would find no descriptor.
+    pub fn within(self, held: Arc<AtomicUsize>, room: impl Fn() -> usize + Send + 'static) -> Prober {
+        Prober { held, room: Box::new(room), ..self }
     }
 
     /// Serves until nobody can ask any more.
@@ -102,9 +115,26 @@
                 }
             }
             self.look(&tell);
+            self.tell_held();
         }
     }
 
+    fn tell_held(&self) {
+        self.held.store(self.lines.len(), Ordering::Relaxed);
+    }
+
+    /// Closes connections over which nothing is being asked, the longest unused first, while there are more than there
+    /// is room for beside `more`; false where there is still none.
+    fn make_room(&mut self, more: usize) -> bool {
+        let room = (self.room)();
+        while self.lines.len() + more > room {
+            let idle = self.lines.iter().filter(|(_, line)| line.asked_at.is_none());
+            let Some(id) = idle.min_by_key(|(_, line)| line.used_at).map(|(id, _)| *id) else { break };
+            self.lines.remove(&id);
+        }
+        self.lines.len() + more <= room
+    }
+
     fn until_due(&self) -> Duration {
         let asked = self.lines.values().filter_map(|line| line.asked_at);
         let left = asked.min().map(|at| (self.patience)().saturating_sub(at.elapsed()));
@@ -117,6 +147,11 @@
         if self.lines.get(&id).is_some_and(|line| line.address != server.address) {
             self.lines.remove(&id);
         }
+        if !self.lines.contains_key(&id) && !self.make_room(1) {
+            debug!(part = "prober", server = %server.name, "no descriptor to spare");
+            // Guards against a server that would be passed over for want of this program's descriptors.
+            return tell(id, Some(Answer::Nothing));
+        }
         let line = match self.lines.entry(id) {
             Entry::Occupied(line) => line.into_mut(),
             Entry::Vacant(none) => match Line::open(server.address) {
@@ -172,6 +207,7 @@
 
     /// Ends what is overdue or idle.
     fn look(&mut self, tell: &impl Fn(ServerId, Option<Answer>)) {
+        self.make_room(0);
         let over = |line: &Line| match line.asked_at {
             Some(at) => at.elapsed() >= (self.patience)(),
             None => line.used_at.elapsed() >= IDLE,
--- a/balancer/src/stages/transaction/tests.rs
+++ b/balancer/src/stages/transaction/tests.rs
@@ -1,7 +1,7 @@
 //! Orders that cross what happens on a connection: the thread that serves it is given both, in a chosen order.
 
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 
 use super::*;
 use crate::clock::Clock;
--- a/cli/tests/support/site.rs
+++ b/cli/tests/support/site.rs
@@ -5,6 +5,9 @@
 
 use super::*;
 
+/// Descriptors that a balancer may hold: the least that the platform gives.
+const SOCKETS: usize = 256;
+
 /// A balancer with application servers `s0`, `s1` and so on.
 pub struct Site {
     pub program: Program,
@@ -39,7 +42,7 @@
             .map(|(name, server)| (name.as_str(), server.local_addr().expect("bound"), "SERVING"))
             .collect();
         let known = list(1, true, &rows);
-        let config = super::config(at, discovery.address, &known, settings, 256);
+        let config = super::config(at, discovery.address, &known, settings, SOCKETS);
         let path = file(name, &config);
         // As on the platform: the variable goes on naming the first address after a reload.
         let old = discovery.address.to_string();
