--- a/balancer/src/core/settings/tests.rs
+++ b/balancer/src/core/settings/tests.rs
@@ -8,6 +8,7 @@
 use beaconflow_settings::{InForce, Setup};
 use serde_json::{Value, json};
 
+use super::super::lifecycle::Word;
 use super::super::testing::{Orders, core, list, opens, row};
 use super::super::{Core, Event, Opening};
 use crate::clock::Clock;
@@ -252,3 +253,22 @@
     core.take(Event::Ended(0, Outcome::Served, SOON));
     assert_eq!(core.ledger.len(), 0);
 }
+
+#[test]
+fn settings_replaced_on_standby_hold_when_clients_are_taken_again() {
+    let (mut core, orders) = started();
+    for word in [Word::Listens(true), Word::Knows] {
+        core.follow_word(word).expect("no order of an operator's");
+    }
+    opens(&mut core, &orders, 0, "acme", LONG);
+    core.take(Event::Established(0));
+    core.follow_word(Word::Standby).expect("it serves");
+    let now = replace(&mut core, site(&[("once", "fragile")], |_| {}));
+    assert_eq!((orders.moves(0), orders.of(0)), (0, (1, 0)), "moved in its turn, and not for the settings");
+    core.follow_word(Word::Active).expect("it stands by");
+    admits(&mut core, &orders, 1, now.class("once").expect("there"));
+    core.take(Event::Ended(1, Outcome::Reset, SOON));
+    assert_eq!(orders.of(1), (1, 1));
+    core.take(Event::Ended(0, Outcome::Served, SOON));
+    assert_eq!(core.ledger.len(), 0);
+}
--- a/cli/tests/settings.rs
+++ b/cli/tests/settings.rs
@@ -314,3 +314,20 @@
     assert!(told.elapsed() < Duration::from_millis(1_300), "{:?}", told.elapsed());
     assert!(site.program.left(), "it leaves by itself");
 }
+
+#[test]
+fn an_opening_that_is_cut_by_a_reload_is_read_by_the_settings_that_hold_when_it_is_whole() {
+    let site = Site::start("cut", 1);
+    let (mut gone, mut kept) = (Peer::connect(site.at), Peer::connect(site.at));
+    gone.say("OPEN c1 02 c=chat,t=acme,d=25");
+    kept.say("OPEN c2 02 c=on");
+    replace(&site, &with_lanes(&[("once", "retryable", 3_000)]));
+    gone.say("00,g=3\r\n");
+    gone.hears("ERR");
+    gone.ended();
+    kept.say("ce,t=acme,d=2500,g=3\r\n");
+    resets(attempt(&site, 0));
+    attempt(&site, 0).say("UP r1\r\n");
+    kept.hears("UP r1");
+    no_attempt_waits(&site);
+}
