--- a/src/rules.rs
+++ b/src/rules.rs
@@ -173,8 +173,8 @@
         }
     }
 
-    /// Asks for the list, after a jittered delay if a call failed or many may call at once. Guards against a herd whose
-    /// calls fail and come again together, and one so late, after `quiet`, that what it would tell counts as told.
+    /// Asks for the list, after a jittered delay if a call failed or many may call at once. Guards against
+    /// a herd that calls, fails and comes again together, and one too late for its clock, `quiet` into it.
     fn ask_list(&mut self, quiet: Nanos, out: &mut Vec<Action>) {
         let asked = self.settings.rules.ask_within.checked_sub(1).map_or(Nanos::MAX, |within| within / 2);
         let usual = if self.settings.discovery == Discovery::Pushed { AGENT_WAIT } else { asked };
