Renames in the administration API and the commands: server list, admission queue

Cause: admin/farm.rs, show::farm, door and told are old words. Change: admin/servers.rs with list and why_they_differ (cut out of its row), fleet_status, Call::Servers; show::server_list and text_of; answers. Paths (/v1/farm), keys, commands and texts are as before. List of tests: no difference.

--- a/balancer/src/admin/admission.rs
+++ b/balancer/src/admin/admission.rs
@@ -2,12 +2,12 @@
 
 use serde_json::{Value, json};
 
-use super::farm::no_answer;
+use super::servers::no_answer;
 use crate::core::{AccountLook, DoorLook};
 use crate::http::Reply;
 use crate::overrides::NamedCore;
 
-/// Who waits at each front's door, and what each account got.
+/// Who waits in each front's admission queue, and what each account got.
 pub(super) fn read(cores: &[NamedCore]) -> Result<Reply, Reply> {
     let fronts = cores
         .iter()
@@ -16,17 +16,17 @@
     Ok(Reply::new(200, json!({ "fronts": fronts })))
 }
 
-fn front(name: &str, door: &DoorLook) -> Value {
-    let limits = &door.limits;
+fn front(name: &str, queue: &DoorLook) -> Value {
+    let limits = &queue.limits;
     json!({
-        "front": name, "waiting": door.waiting, "bytes": door.bytes,
+        "front": name, "waiting": queue.waiting, "bytes": queue.bytes,
         "limits": {
             "entries": limits.all.entries, "bytes": limits.all.bytes,
             "account_entries": limits.account.entries, "account_bytes": limits.account.bytes,
             "queue_entries": limits.queue.entries, "queue_bytes": limits.queue.bytes,
             "queues": limits.queues, "hand": limits.hand,
         },
-        "accounts": door.accounts.iter().map(account).collect::<Vec<Value>>(),
+        "accounts": queue.accounts.iter().map(account).collect::<Vec<Value>>(),
     })
 }
 
--- a/balancer/src/admin/mod.rs
+++ b/balancer/src/admin/mod.rs
@@ -2,8 +2,8 @@
 //! whichever fronts run.
 
 mod admission;
-mod farm;
 mod overrides;
+mod servers;
 mod tenants;
 
 use std::net::{TcpListener, TcpStream};
@@ -119,10 +119,10 @@
             (Call::Override(id), "PATCH") => overrides::extend(&self.keeper, id, request),
             (Call::Override(id), "DELETE") => overrides::remove(&self.keeper, id, request),
             (Call::Counts, "GET") => {
-                farm::counts(&self.cores, self.tenants.as_ref().map(|(tenants, _)| tenants))
+                servers::counts(&self.cores, self.tenants.as_ref().map(|(tenants, _)| tenants))
             }
             (Call::Admission, "GET") => admission::read(&self.cores),
-            (Call::Farm, "GET") => farm::farm(&self.cores, &self.keeper, self.fleet.as_ref()),
+            (Call::Servers, "GET") => servers::list(&self.cores, &self.keeper, self.fleet.as_ref()),
             (call, _) => Err(Reply::error(405, "no such method here").with("Allow", call.methods())),
         };
         reply.unwrap_or_else(|refused| refused)
@@ -143,7 +143,7 @@
     Override(&'a str),
     Counts,
     Admission,
-    Farm,
+    Servers,
 }
 
 impl<'a> Call<'a> {
@@ -156,7 +156,7 @@
             ["v1", "overrides", id] => Some(Call::Override(id)),
             ["v1", "counts"] => Some(Call::Counts),
             ["v1", "admission"] => Some(Call::Admission),
-            ["v1", "farm"] => Some(Call::Farm),
+            ["v1", "farm"] => Some(Call::Servers),
             _ => None,
         }
     }
@@ -166,7 +166,7 @@
             Call::Tenants | Call::Overrides => "GET, POST",
             Call::Tenant(_) | Call::Override(_) => "GET, PATCH, DELETE",
             Call::Credentials(_) => "PUT",
-            Call::Counts | Call::Admission | Call::Farm => "GET",
+            Call::Counts | Call::Admission | Call::Servers => "GET",
         }
     }
 }
--- a/balancer/src/admin/servers.rs
+++ b/balancer/src/admin/servers.rs
@@ -1,9 +1,10 @@
-//! The farm and the counts, over the administration API.
+//! The server list and the counts, over the administration API.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use beaconflow::api::State;
+use beaconflow_overrides::Effect;
 use serde_json::{Value, json};
 
 use crate::core::{Look, ServerLook};
@@ -44,7 +45,7 @@
 }
 
 /// Every listed server, as it is listed and as the decisions see it, and why the two differ.
-pub(super) fn farm(cores: &[NamedCore], keeper: &Keeper, fleet: Option<&Way>) -> Result<Reply, Reply> {
+pub(super) fn list(cores: &[NamedCore], keeper: &Keeper, fleet: Option<&Way>) -> Result<Reply, Reply> {
     let overrides = keeper.list();
     let mut by_server: HashMap<&str, Vec<&Shown>> = HashMap::new();
     for shown in &overrides {
@@ -65,35 +66,44 @@
     }
     let mut body = json!({ "servers": servers, "warnings": warnings });
     if let Some(fleet) = fleet {
-        body["fleet"] = processes(&fleet.look());
+        body["fleet"] = fleet_status(&fleet.look());
     }
     Ok(Reply::new(200, body))
 }
 
 /// What this process knows together with the others.
-fn processes(look: &fleet::Status) -> Value {
+fn fleet_status(status: &fleet::Status) -> Value {
+    let (processes, size) = status.processes;
     json!({
-        "name": look.name, "site": look.site, "boot": look.boot, "processes": look.processes.0,
-        "size": look.processes.1, "recovery": look.recovery, "deferred": look.deferred, "failing": look.failing, "uplink": look.uplink, "placements": look.placements,
-        "version": look.version, "refused": look.refused, "kept": look.kept,
+        "name": status.name, "site": status.site, "boot": status.boot, "processes": processes, "size": size,
+        "recovery": status.recovery, "deferred": status.deferred, "failing": status.failing,
+        "uplink": status.uplink, "placements": status.placements, "version": status.version,
+        "refused": status.refused, "kept": status.kept,
     })
 }
 
-fn row(front: &str, server: &ServerLook, about: Option<&Vec<&Shown>>) -> Value {
+/// A server as it is listed and as the decisions see it.
+fn row(front: &str, server: &ServerLook, overrides: Option<&Vec<&Shown>>) -> Value {
+    let side = |state: State, weight: f64| json!({ "state": name(state), "weight": weight });
+    json!({
+        "front": front, "name": server.name, "address": server.address.to_string(), "zone": server.zone,
+        "standing": server.standing, "leaving": server.state.1 != State::Ready,
+        "listed": side(server.state.0, server.weight.0), "effective": side(server.state.1, server.weight.1),
+        "why": why_they_differ(front, server, overrides),
+    })
+}
+
+/// Why a server is not as it is listed: overrides, the site's own evidence, or what is left of either.
+fn why_they_differ(front: &str, server: &ServerLook, overrides: Option<&Vec<&Shown>>) -> Vec<String> {
     let holds = |shown: &&Shown| {
         let effect = shown.effects.iter().find(|(at, _)| *at == front);
-        effect.is_some_and(|(_, effect)| *effect == beaconflow_overrides::Effect::InEffect)
+        effect.is_some_and(|(_, effect)| *effect == Effect::InEffect)
     };
-    let mut why: Vec<String> = about
-        .into_iter()
-        .flatten()
-        .copied()
-        .filter(holds)
-        .map(|shown| {
-            let (one, left) = (&shown.one, shown.remaining / 1_000);
-            format!("override {} ({}, {left} s left): {}", one.id, one.kind.name(), one.why)
-        })
-        .collect();
+    let words = |shown: &Shown| {
+        let (one, left) = (&shown.one, shown.remaining / 1_000);
+        format!("override {} ({}, {left} s left): {}", one.id, one.kind.name(), one.why)
+    };
+    let mut why: Vec<String> = overrides.into_iter().flatten().copied().filter(holds).map(words).collect();
     if let Some(site) = &server.site {
         let passed = site.passed.as_ref().map(|why| format!("passed over by this site's evidence: {why}"));
         let rises = || format!("{:.0}% of its weight by this site's evidence", site.part * 100.0);
@@ -103,13 +113,7 @@
     if why.is_empty() && server.state.0 == server.state.1 && server.weight.0 != server.weight.1 {
         why.push("its weight is on its way back after an override".into());
     }
-    let side = |state: State, weight: f64| json!({ "state": name(state), "weight": weight });
-    json!({
-        "front": front, "name": server.name, "address": server.address.to_string(), "zone": server.zone,
-        "standing": server.standing, "leaving": server.state.1 != State::Ready,
-        "listed": side(server.state.0, server.weight.0), "effective": side(server.state.1, server.weight.1),
-        "why": why,
-    })
+    why
 }
 
 fn name(state: State) -> &'static str {
--- a/balancer/src/overrides/follow.rs
+++ b/balancer/src/overrides/follow.rs
@@ -15,17 +15,18 @@
 impl Keeper {
     /// Tells the cores, and waits until each follows and no first byte is being written to a server that is out.
     pub(super) fn have_followed(&self, change: OverrideChange) -> bool {
-        let told: Vec<Receiver<InEffect>> = self
+        let answers: Vec<Receiver<InEffect>> = self
             .cores
             .iter()
             .map(|(_, core)| {
-                let (answer, told) = bounded(1);
+                let (answer, receiver) = bounded(1);
                 core.tell(Event::Overrides(vec![change.clone()], Some(answer)));
-                told
+                receiver
             })
             .collect();
         let until = Instant::now() + CORE_PATIENCE;
-        let effects: Vec<Option<InEffect>> = told.iter().map(|told| told.recv_deadline(until).ok()).collect();
+        let effects: Vec<Option<InEffect>> =
+            answers.iter().map(|answer| answer.recv_deadline(until).ok()).collect();
         let followed = effects.iter().all(Option::is_some);
         let marks = || effects.iter().flatten().flat_map(|effect| &effect.out);
         let until = Instant::now() + QUIET_PATIENCE;
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -36,7 +36,7 @@
         Command::Admission { every, to } => admission(every, &to),
         Command::Farm { to } => {
             let answer = Api::new(&to).and_then(|api| api.call("GET", "/v1/farm", None, &[]));
-            answer.and_then(|farm| print(to.json, &farm, show::farm))
+            answer.and_then(|servers| print(to.json, &servers, show::server_list))
         }
     };
     match done {
@@ -69,14 +69,14 @@
 fn check(file: &Path, as_json: bool) -> Result<(), Failure> {
     let faults = Operator::read(file).err().map(|faults| faults.0).unwrap_or_default();
     let mut out = std::io::stdout();
-    let told = if as_json {
+    let written = if as_json {
         writeln!(out, "{}", json!({ "file": file, "ok": faults.is_empty(), "faults": faults }))
     } else if faults.is_empty() {
         writeln!(out, "{}: sound", file.display())
     } else {
         faults.iter().try_for_each(|fault| writeln!(out, "{fault}"))
     };
-    told.map_err(|error| Failure::Local(error.to_string()))?;
+    written.map_err(|error| Failure::Local(error.to_string()))?;
     match faults.len() {
         0 => Ok(()),
         1 => Err(Failure::Local("1 fault".into())),
@@ -111,7 +111,7 @@
     }
 }
 
-/// The door's table, once or again and again. A call that fails ends it: what is shown would no longer be so.
+/// The admission queue's table, once or again and again. A call that fails ends it: what is shown would no longer be so.
 fn admission(every: Option<Duration>, to: &args::To) -> Result<(), Failure> {
     let api = Api::new(to)?;
     loop {
--- a/cli/src/show.rs
+++ b/cli/src/show.rs
@@ -15,7 +15,7 @@
 }
 
 /// A value as it is read aloud.
-fn word(value: &Value) -> String {
+fn text_of(value: &Value) -> String {
     match value {
         Value::String(text) => text.clone(),
         Value::Null => "-".into(),
@@ -31,7 +31,7 @@
 
 /// What an override does, in a few words.
 fn what(one: &Value) -> String {
-    let server = word(&one["server"]);
+    let server = text_of(&one["server"]);
     match one["kind"].as_str() {
         Some("out") if one["moves_per_s"].is_number() => {
             format!("out {server}, moving {} a second", one["moves_per_s"])
@@ -40,7 +40,7 @@
         Some("pin") => {
             let (what, name) =
                 if one["group"].is_string() { ("group", &one["group"]) } else { ("tenant", &one["tenant"]) };
-            format!("pin {what} {} to {server}, {}", word(name), word(&one["mode"]))
+            format!("pin {what} {} to {server}, {}", text_of(name), text_of(&one["mode"]))
         }
         _ => format!("out {server}"),
     }
@@ -52,7 +52,7 @@
         .as_object()
         .into_iter()
         .flatten()
-        .map(|(front, effect)| (front.clone(), word(effect)))
+        .map(|(front, effect)| (front.clone(), text_of(effect)))
         .collect();
     match effects.as_slice() {
         [] => "-".into(),
@@ -68,16 +68,16 @@
 pub fn one(one: &Value) -> String {
     let mut table = table(["", ""]);
     for (name, value) in [
-        ("override", word(&one["id"])),
+        ("override", text_of(&one["id"])),
         ("does", what(one)),
         ("effect", effect(one)),
         ("left", span(&one["remaining_s"])),
-        ("expires", word(&one["expires_at"])),
-        ("since", word(&one["created_at"])),
-        ("who", word(&one["who"])),
-        ("why", word(&one["why"])),
-        ("revision", word(&one["revision"])),
-        ("forced", word(&one["forced"])),
+        ("expires", text_of(&one["expires_at"])),
+        ("since", text_of(&one["created_at"])),
+        ("who", text_of(&one["who"])),
+        ("why", text_of(&one["why"])),
+        ("revision", text_of(&one["revision"])),
+        ("forced", text_of(&one["forced"])),
     ] {
         table.add_row([name.to_owned(), value]);
     }
@@ -88,7 +88,7 @@
 pub fn list(answer: &Value) -> String {
     let mut text = String::new();
     for note in answer["notes"].as_array().into_iter().flatten() {
-        text.push_str(&format!("note: {}\n", word(note)));
+        text.push_str(&format!("note: {}\n", text_of(note)));
     }
     if answer["kept"] != true {
         text.push_str("No overrides are kept here.\n");
@@ -106,38 +106,39 @@
     let mut table = table(["ID", "DOES", "EFFECT", "LEFT", "WHO", "WHY"]);
     for one in all {
         table.add_row([
-            word(&one["id"]),
+            text_of(&one["id"]),
             what(one),
             effect(one),
             span(&one["remaining_s"]),
-            word(&one["who"]),
-            word(&one["why"]),
+            text_of(&one["who"]),
+            text_of(&one["why"]),
         ]);
     }
     text + &table.trim_fmt()
 }
 
-/// The farm.
-pub fn farm(answer: &Value) -> String {
+/// The server list.
+pub fn server_list(answer: &Value) -> String {
     let mut table =
         table(["FRONT", "SERVER", "ADDRESS", "ZONE", "STANDING", "LISTED", "EFFECTIVE", "WHY THEY DIFFER"]);
     for server in answer["servers"].as_array().into_iter().flatten() {
-        let side =
-            |side: &Value| format!("{} {:.3}", word(&side["state"]), side["weight"].as_f64().unwrap_or(0.0));
-        let why: Vec<String> = server["why"].as_array().into_iter().flatten().map(word).collect();
+        let side = |side: &Value| {
+            format!("{} {:.3}", text_of(&side["state"]), side["weight"].as_f64().unwrap_or(0.0))
+        };
+        let why: Vec<String> = server["why"].as_array().into_iter().flatten().map(text_of).collect();
         table.add_row([
-            word(&server["front"]),
-            word(&server["name"]),
-            word(&server["address"]),
-            word(&server["zone"]),
-            word(&server["standing"]),
+            text_of(&server["front"]),
+            text_of(&server["name"]),
+            text_of(&server["address"]),
+            text_of(&server["zone"]),
+            text_of(&server["standing"]),
             side(&server["listed"]),
             side(&server["effective"]),
             why.join("; "),
         ]);
     }
     let warnings = answer["warnings"].as_array().into_iter().flatten();
-    let warnings: String = warnings.map(|warning| format!("warning: {}\n", word(warning))).collect();
+    let warnings: String = warnings.map(|warning| format!("warning: {}\n", text_of(warning))).collect();
     warnings + &fleet(&answer["fleet"]) + &table.trim_fmt()
 }
 
@@ -147,7 +148,7 @@
         return String::new();
     }
     let remembers = match fleet["placements"].as_u64() {
-        Some(count) => format!(", {count} clients remembered under version {}", word(&fleet["version"])),
+        Some(count) => format!(", {count} clients remembered under version {}", text_of(&fleet["version"])),
         None => String::new(),
     };
     let uplink = match fleet["uplink"].as_str() {
@@ -161,16 +162,16 @@
     let kept = if fleet["kept"] == true { "" } else { ", nothing kept on disk" };
     format!(
         "fleet: {} of site {} (boot {}), {} of {} processes, {}{deferred}{uplink}{remembers}{kept}\n",
-        word(&fleet["name"]),
-        word(&fleet["site"]),
+        text_of(&fleet["name"]),
+        text_of(&fleet["site"]),
         fleet["boot"],
         fleet["processes"],
         fleet["size"],
-        word(&fleet["recovery"]),
+        text_of(&fleet["recovery"]),
     )
 }
 
-/// Who waits at the door, and what each account got.
+/// Who waits in the admission queue, and what each account got.
 pub fn admission(answer: &Value) -> String {
     let mut text = String::new();
     let mut table = table([
@@ -181,27 +182,27 @@
         let (limits, bytes) = (&front["limits"], front["bytes"].as_f64().unwrap_or_default() / 1024.0);
         text.push_str(&format!(
             "{}: {} of {} wait, {bytes:.0} of {:.0} KiB\n",
-            word(&front["front"]),
-            word(&front["waiting"]),
-            word(&limits["entries"]),
+            text_of(&front["front"]),
+            text_of(&front["waiting"]),
+            text_of(&limits["entries"]),
             limits["bytes"].as_f64().unwrap_or_default() / 1024.0,
         ));
         for account in front["accounts"].as_array().into_iter().flatten() {
             let number = |name: &str| account[name].as_f64().unwrap_or_default();
             table.add_row([
-                word(&front["front"]),
-                word(&account["account"]),
+                text_of(&front["front"]),
+                text_of(&account["account"]),
                 format!("{:.1}%", number("due") * 100.0),
                 format!("{:.1}", number("per_second")),
-                word(&account["waiting"]),
-                word(&account["asked"]),
-                word(&account["admitted"]),
-                word(&account["lent"]),
-                word(&account["refused"]),
-                word(&account["given_up"]),
-                word(&account["left"]),
-                format!("{} ms", word(&account["wait_p50_ms"])),
-                format!("{} ms", word(&account["wait_p99_ms"])),
+                text_of(&account["waiting"]),
+                text_of(&account["asked"]),
+                text_of(&account["admitted"]),
+                text_of(&account["lent"]),
+                text_of(&account["refused"]),
+                text_of(&account["given_up"]),
+                text_of(&account["left"]),
+                format!("{} ms", text_of(&account["wait_p50_ms"])),
+                format!("{} ms", text_of(&account["wait_p99_ms"])),
             ]);
         }
     }
