No connect is begun for a client that has left while its attempt waited for a thread

Cause: the attempt's thread connected first and looked at its client, the last word and the time only before the first byte. On a balancer short of processor time a client may have left long before. A look comes first now. One that the module would send to a server that is not known is refused, as what was never sent on.

--- a/balancer/src/core/route.rs
+++ b/balancer/src/core/route.rs
@@ -50,7 +50,7 @@
                         self.gate.admitted(now, &entry, waited);
                     }
                 }
-                None => self.answer(request.0, Order::Failed),
+                None => self.give_up_on(request.0),
             },
             Action::Refuse { request, retry_after } => {
                 self.answer(request.0, Order::Unavailable(retry_after.map(Duration::from_nanos)));
--- a/balancer/src/stages/send.rs
+++ b/balancer/src/stages/send.rs
@@ -42,6 +42,7 @@
 }
 
 /// Connects, for as long as the pass may still begin: one that has not come up by then counts against its server.
+/// None is begun for a client that has left, or whose time is up, while the order waited for its thread.
 /// The wait ends at once with a client that leaves, and soon with one that the core has given up on: neither has to
 /// wait for a server that is late to come up.
 pub fn connect(
@@ -50,6 +51,10 @@
     times: PassTimes,
     connect_timeout: Duration,
 ) -> Result<TcpStream, PassError> {
+    client.look().map_err(PassError::ClientLeft)?;
+    if client.is_given_up() || Instant::now() >= times.begin_by {
+        return Err(PassError::Withheld);
+    }
     let given_up_at = times.begin_by.min(Instant::now() + connect_timeout);
     let server = begin_to_connect(to).map_err(PassError::NotConnected)?;
     loop {
--- a/balancer/src/stages/send/tests.rs
+++ b/balancer/src/stages/send/tests.rs
@@ -72,10 +72,9 @@
 }
 
 #[test]
-fn a_client_that_leaves_or_is_given_up_on_ends_the_connect() {
-    let (listener, _filler) = late();
+fn no_connect_is_begun_for_one_that_has_left_or_was_given_up_on_or_is_late() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback");
     let to = listener.local_addr().expect("bound");
-    let began = Instant::now();
     let (mut left, far) = client();
     drop(far);
     let ended = connect(to, &mut left, after(LONG), LONG);
@@ -84,7 +83,27 @@
     given_up.is_given_up.store(true, Ordering::Relaxed);
     let ended = connect(to, &mut given_up, after(LONG), LONG);
     assert!(matches!(ended, Err(PassError::Withheld)), "{ended:?}");
+    let (mut late, _far) = client();
+    let ended = connect(to, &mut late, after(Duration::ZERO), LONG);
+    assert!(matches!(ended, Err(PassError::Withheld)), "{ended:?}");
+    listener.set_nonblocking(true).expect("open");
+    assert!(listener.accept().is_err(), "no connection came");
+}
+
+#[test]
+fn one_that_is_given_up_on_during_the_connect_ends_it() {
+    let (listener, _filler) = late();
+    let to = listener.local_addr().expect("bound");
+    let (mut client, _far) = client();
+    let (is_given_up, began) = (Arc::clone(&client.is_given_up), Instant::now());
+    let gives_up = std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_millis(20));
+        is_given_up.store(true, Ordering::Relaxed);
+    });
+    let ended = connect(to, &mut client, after(LONG), LONG);
+    assert!(matches!(ended, Err(PassError::Withheld)), "{ended:?}");
     assert!(began.elapsed() < LONG / 3);
+    gives_up.join().expect("it ran");
 }
 
 #[test]
