The connect makes the calls to the system that the standard library's makes

Change: the socket is set not to block by the call that the standard library uses for its connect with a timeout, so that nothing else is new to it.

--- a/balancer/src/stages/send.rs
+++ b/balancer/src/stages/send.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use rustix::io::Errno;
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 
 use crate::core::{ApplicationServer, PassTimes};
 use crate::front::Front;
@@ -79,11 +79,12 @@
 
 /// A connection that is on its way, or up. It does not block.
 fn begin_to_connect(to: SocketAddr) -> io::Result<TcpStream> {
-    let socket = Socket::new(Domain::for_address(to), Type::STREAM, None)?;
-    socket.set_nonblocking(true)?;
-    match socket.connect(&to.into()) {
+    // The same calls to the system as the standard library's connect with a timeout makes.
+    let server = TcpStream::from(Socket::new(Domain::for_address(to), Type::STREAM, None)?);
+    server.set_nonblocking(true)?;
+    match SockRef::from(&server).connect(&to.into()) {
         Err(error) if error.raw_os_error() != Some(Errno::INPROGRESS.raw_os_error()) => Err(error),
-        _ => Ok(socket.into()),
+        _ => Ok(server),
     }
 }
 
