--- a/balancer/src/stages/send.rs
+++ b/balancer/src/stages/send.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use rustix::io::Errno;
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 
 use crate::core::{ApplicationServer, PassTimes};
 use crate::front::Front;
@@ -42,6 +42,7 @@
 }
 
 /// Connects, for as long as the pass may still begin: one that has not come up by then counts against its server.
+/// None is begun for a client that has left, or whose time is up, while the order waited for its thread.
 /// The wait ends at once with a client that leaves, and soon with one that the core has given up on: neither has to
 /// wait for a server that is late to come up.
 pub fn connect(
@@ -50,6 +51,10 @@
     times: PassTimes,
     connect_timeout: Duration,
 ) -> Result<TcpStream, PassError> {
+    client.look().map_err(PassError::ClientLeft)?;
+    if client.is_given_up() || Instant::now() >= times.begin_by {
+        return Err(PassError::Withheld);
+    }
     let given_up_at = times.begin_by.min(Instant::now() + connect_timeout);
     let server = begin_to_connect(to).map_err(PassError::NotConnected)?;
     loop {
@@ -74,11 +79,12 @@
 
 /// A connection that is on its way, or up. It does not block.
 fn begin_to_connect(to: SocketAddr) -> io::Result<TcpStream> {
-    let socket = Socket::new(Domain::for_address(to), Type::STREAM, None)?;
-    socket.set_nonblocking(true)?;
-    match socket.connect(&to.into()) {
+    // The same calls to the system as the standard library's connect with a timeout makes.
+    let server = TcpStream::from(Socket::new(Domain::for_address(to), Type::STREAM, None)?);
+    server.set_nonblocking(true)?;
+    match SockRef::from(&server).connect(&to.into()) {
         Err(error) if error.raw_os_error() != Some(Errno::INPROGRESS.raw_os_error()) => Err(error),
-        _ => Ok(socket.into()),
+        _ => Ok(server),
     }
 }
 
