--- a/balancer/src/stages/transaction/tests.rs
+++ b/balancer/src/stages/transactions/tests.rs
@@ -2,12 +2,15 @@
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
 
 use super::*;
 use crate::clock::Clock;
 use crate::config::SharedSettings;
 use crate::core::{Start, start};
+use crate::front::First;
 use crate::front::platform::Platform;
+use crate::net;
 
 const SETTINGS: &str = r#"{"discovery": "automatic",
     "lanes": [{"name": "chat", "on-time-ns": 300000000, "hard-limit-ns": 60000000000,
