--- a/adapter/tests/renamed.rs
+++ b/adapter/tests/renamed.rs
@@ -10,7 +10,7 @@
 /// Steps of the story.
 const STEPS: u64 = 100;
 
-/// How a story is told: the name of each thing, and the places of classes, tenants and zones.
+/// A telling of the story: the name of each thing, and the places of classes, tenants and zones.
 struct Telling {
     name: fn(&str) -> String,
     classes: [usize; 3],
@@ -113,10 +113,10 @@
 
     /// What the adapter decides, in the first telling's names.
     fn decisions(&self) -> String {
-        let told = decides(self.story());
+        let decided = decides(self.story());
         let names = SERVERS.iter().chain(&["BALANCER"]);
-        names.fold(told, |told, name| {
-            told.replace(&format!("\"{}\"", (self.name)(name)), &format!("\"{name}\""))
+        names.fold(decided, |text, name| {
+            text.replace(&format!("\"{}\"", (self.name)(name)), &format!("\"{name}\""))
         })
     }
 }
@@ -129,9 +129,9 @@
         .spawn()
         .expect("the adapter starts");
     let mut stdin = child.stdin.take().expect("piped");
-    let tell = std::thread::spawn(move || stdin.write_all(story.as_bytes()));
+    let writes = std::thread::spawn(move || stdin.write_all(story.as_bytes()));
     let output = child.wait_with_output().expect("the adapter ends");
-    tell.join().expect("no panic").expect("all is read");
+    writes.join().expect("no panic").expect("all is read");
     assert!(output.status.success());
     String::from_utf8(output.stdout).expect("UTF-8")
 }
--- a/balancer/src/config.rs
+++ b/balancer/src/config.rs
@@ -70,7 +70,7 @@
         Config::of(&value).map_err(|faults| format!("{path}: {faults}"))
     }
 
-    /// Reads the object that the file holds; all its faults are told at once, each with its path.
+    /// Reads the object that the file holds; all its faults are reported at once, each with its path.
     pub fn of(value: &Value) -> Result<Config, Faults> {
         let met = Met::default();
         let config = config(Fields::of(value, "", &met), &met);
@@ -121,7 +121,7 @@
     })
 }
 
-/// The list of servers; its one fault is told with the path in it.
+/// The list of servers; its one fault is reported with the path in it.
 fn known(fields: Fields<'_>) -> Option<List> {
     let Some(value) = fields.value("known") else { return Some(List::default()) };
     let read = serde_path_to_error::deserialize(value);
--- a/balancer/src/config/tests.rs
+++ b/balancer/src/config/tests.rs
@@ -71,7 +71,7 @@
 }
 
 #[test]
-fn all_faults_of_a_file_are_told_at_once_each_by_its_path() {
+fn all_faults_of_a_file_are_reported_at_once_each_by_its_path() {
     let wrong = [
         ("/listen", json!("nowhere")),
         ("/limits/sockets", json!(-1)),
@@ -93,7 +93,7 @@
     for (path, value) in &wrong {
         *file.pointer_mut(path).expect("it is there") = value.clone();
     }
-    let told = faults(&file);
+    let reported = faults(&file);
     for path in [
         "listen: ",
         "limits.sockets: ",
@@ -111,9 +111,13 @@
         "settings.rules.tip-multiple: must be above 0",
         "settings.rules.fall-ns: ",
     ] {
-        assert_eq!(told.iter().filter(|fault| fault.starts_with(path)).count(), 1, "{path} in {told:#?}");
+        assert_eq!(
+            reported.iter().filter(|fault| fault.starts_with(path)).count(),
+            1,
+            "{path} in {reported:#?}"
+        );
     }
-    assert_eq!(told.len(), wrong.len(), "{told:#?}");
+    assert_eq!(reported.len(), wrong.len(), "{reported:#?}");
 }
 
 #[test]
--- a/balancer/src/core/door.rs
+++ b/balancer/src/core/door.rs
@@ -220,7 +220,7 @@
     }
 }
 
-/// What the queue is told of classes.
+/// The classes' parts of the turns of the admission queue.
 fn urgencies(classes: &[Class]) -> Vec<f64> {
     classes.iter().map(Class::urgency).collect()
 }
--- a/balancer/src/core/drain/spans.rs
+++ b/balancer/src/core/drain/spans.rs
@@ -5,11 +5,11 @@
 
 use super::{ANSWERS, LEAVE_LEAST, LEAVE_MOST, MOVES, NEWCOMERS};
 
-/// A longest deadline beyond this counts as this: the platform's word.
+/// A longest deadline beyond this counts as this: as the platform counts it.
 const LONGEST_COUNTED: Duration = Duration::from_secs(3);
 /// The longest that a move may wait for the end of a line (`stages/relay.rs`).
 const WAITS_FOR_A_LINE: Duration = Duration::from_millis(700);
-/// The front goes on sending newcomers for 0.4 s at most after the word.
+/// The front goes on sending newcomers for 0.4 s at most after the signal.
 const FRONT_GRACE: Duration = Duration::from_millis(450);
 /// Moves are spread over this part of all the time at least.
 const LEAST_MOVES: f64 = 0.25;
--- a/balancer/src/core/farm.rs
+++ b/balancer/src/core/farm.rs
@@ -205,7 +205,7 @@
         Some(told)
     }
 
-    /// The zones have other numbers from now on; gives the entries that are other than the module was told.
+    /// The zones have other numbers from now on; gives the entries that differ for the module.
     pub(super) fn renumber_zones(&mut self, zone: impl Fn(&str) -> Option<u32>) -> Vec<Entry> {
         let mut changed = Vec::new();
         for known in &mut self.known {
@@ -224,7 +224,7 @@
         catch_unwind(look).unwrap_or(Standing::AS_LISTED)
     }
 
-    /// Looks at the overrides anew; gives the entries that are other than the module was told.
+    /// Looks at the overrides anew; gives the entries that differ for the module.
     pub(super) fn reconsider(&mut self, now: Millis) -> Vec<Entry> {
         let named = self.overrides.servers().filter_map(|name| self.numbers.get(name).copied());
         let servers: BTreeSet<ServerId> = named.chain(self.changed.iter().copied()).collect();
--- a/balancer/src/core/ledger.rs
+++ b/balancer/src/core/ledger.rs
@@ -216,12 +216,12 @@
         Some(transaction.arrival(id))
     }
 
-    /// What the admission queue is told of all open requests.
+    /// What the admission queue knows of all open requests.
     pub(super) fn entries(&self) -> impl Iterator<Item = &Entry> {
         self.open.values().map(|transaction| &transaction.entry)
     }
 
-    /// Tells the admission queue something else of all open requests from now on.
+    /// Changes what the admission queue knows of all open requests.
     pub(super) fn rebook(&mut self, entry: impl Fn(&Opening, Entry) -> Entry) {
         for transaction in self.open.values_mut() {
             transaction.entry = entry(&transaction.opening, transaction.entry);
--- a/balancer/src/core/mod.rs
+++ b/balancer/src/core/mod.rs
@@ -94,7 +94,7 @@
 
 struct Core {
     name: &'static str,
-    /// The settings of the site as they are in force, and what the module was told of them.
+    /// The settings of the site as they are in force, and what the module has of them.
     in_force: Arc<InForce>,
     settings: Settings,
     seed: u64,
--- a/balancer/src/core/settings.rs
+++ b/balancer/src/core/settings.rs
@@ -13,7 +13,7 @@
 
 use super::Core;
 
-/// Part of the shortest message aim from which on a message is news.
+/// Part of the shortest message aim from which on a message is slow.
 const SLOW_PART: Nanos = 3;
 
 /// The figures of the settings in force that other threads than the core's read.
@@ -42,13 +42,13 @@
         Duration::from_nanos(self.connect_timeout.load(Ordering::Relaxed))
     }
 
-    /// A message that takes this long is news.
+    /// A message that takes this long is slow.
     pub(super) fn slow(&self) -> Duration {
         Duration::from_nanos(self.slow.load(Ordering::Relaxed))
     }
 }
 
-/// What the module is told of the settings in force.
+/// What the module has of the settings in force.
 pub(super) fn of(in_force: &InForce, asks_for_load: bool) -> Settings {
     let mut settings = in_force.module();
     // Guards against a module that waits for answers to questions that nobody asks.
--- a/balancer/src/reload.rs
+++ b/balancer/src/reload.rs
@@ -30,7 +30,7 @@
         target: Target,
         /// The descriptors.
         sockets: Sockets,
-        /// Its core, which is told of other settings.
+        /// Its core, which takes over other settings.
         core: Handle,
         /// The settings that its front reads openings by.
         settings: SharedSettings,
--- a/balancer/src/serve.rs
+++ b/balancer/src/serve.rs
@@ -213,12 +213,11 @@
     let place = folder.map(|folder| Place::of(Path::new(&folder), &config.name));
     start_front(front, (listener, place), Arc::clone(&sockets), &core)?;
     info!(part = "main", front = "platform", name = config.name, on = %config.listen, shared, "serves");
-    let told = core.clone();
     let reload = Reload::Platform {
         file: Box::new(file),
         target,
         sockets,
-        core: told,
+        core: core.clone(),
         settings,
         probes,
         fleet: fleet.is_some(),
--- a/cli/tests/settings.rs
+++ b/cli/tests/settings.rs
@@ -70,7 +70,7 @@
 
 #[test]
 fn two_deployments_of_other_shapes_are_each_served_by_what_their_settings_say() {
-    // Two classes, two tenants, two zones, two attempts, a word on when to come again.
+    // Two classes, two tenants, two zones, two attempts, a time to come again.
     let mut first = with_lanes(&[("quick", "fragile", 700), ("bulk", "retryable", 9_000)]);
     first["zones"] = json!(["north", "south"]);
     first["projects"] = json!([{"name": "kiosk", "share": 0.3}, {"name": "acme", "share": 0.2}]);
@@ -95,7 +95,7 @@
     assert!(took >= Duration::from_millis(500) && took < Duration::from_millis(2_300), "{took:?} of 700 ms");
     no_attempt_waits(&site);
 
-    // One class, no tenants, no zones, one attempt, nothing told of when to come again.
+    // One class, no tenants, no zones, one attempt, no time to come again.
     let mut second = with_lanes(&[("only", "dedup", 5_000)]);
     for absent in ["zones", "zone", "projects", "prices", "report"] {
         second.as_object_mut().expect("an object").remove(absent);
@@ -175,7 +175,7 @@
     under_way.hears("UP r2");
     speaks(&mut under_way, &mut out);
     speaks(&mut client, &mut server);
-    // The class comes back, with its tenant: nothing of the word in between is left.
+    // The class comes back, with its tenant: nothing of the file in between is left.
     replace(&site, &usual());
     let (mut again, mut again_server) = site.stand();
     speaks(&mut again, &mut again_server);
@@ -226,7 +226,7 @@
     third["rules"]["cold-share"] = json!(0.5);
     reload(&site, &file_with(&site, &second));
     reload(&site, &file_with(&site, &third));
-    // Read once or twice: what changes last is told last.
+    // Read once or twice: what changes last is logged last.
     site.program.says("rules");
     site.open("second", "").hears("ERR");
     let mut third = site.open("third", "");
@@ -286,10 +286,10 @@
     settings["policy-limits"]["may-probe"] = json!(true);
     settings["report"] = json!({"how": "on_probe", "names": ["x0"]});
     reload(&site, &file_with(&site, &settings));
-    let told = site.program.says("takes a restart");
+    let said = site.program.says("takes a restart");
     assert!(
-        told.contains("settings.discovery") && told.contains("settings.policy-limits.may-probe"),
-        "{told}"
+        said.contains("settings.discovery") && said.contains("settings.policy-limits.may-probe"),
+        "{said}"
     );
     let mut chat = site.open("chat", "");
     resets(attempt(&site, 0));
@@ -303,7 +303,7 @@
     let mut standing: Vec<(Peer, Peer)> = (0..10).map(|_| site.stand()).collect();
     let mut waiting = site.open("once", "");
     let _silent = attempt(&site, 0);
-    let told = Instant::now();
+    let begun = Instant::now();
     site.program.signal("TERM");
     for (client, _) in &mut standing {
         client.hears("MOVE");
@@ -311,7 +311,7 @@
     }
     waiting.hears("ERR");
     // It may be killed after the longest deadline and 0.7 s.
-    assert!(told.elapsed() < Duration::from_millis(1_300), "{:?}", told.elapsed());
+    assert!(begun.elapsed() < Duration::from_millis(1_300), "{:?}", begun.elapsed());
     assert!(site.program.left(), "it leaves by itself");
 }
 
--- a/settings/src/fields.rs
+++ b/settings/src/fields.rs
@@ -1,4 +1,4 @@
-//! Reading an object field by field: every fault is kept with its path, so that a file's faults are told all at once.
+//! Reading an object field by field: every fault is kept with its path, so that a file's faults are reported all at once.
 
 use std::cell::RefCell;
 use std::fmt;
@@ -102,7 +102,7 @@
         self.object?.get(key)
     }
 
-    /// The value of a field that has to be there. Where there is no object, that was told.
+    /// The value of a field that has to be there. Where there is no object, that is a fault already.
     pub fn needed_value(&self, key: &str) -> Option<&'v Value> {
         let value = self.object?.get(key);
         if value.is_none() {
--- a/settings/src/in_force.rs
+++ b/settings/src/in_force.rs
@@ -65,7 +65,7 @@
         present.or_else(by_name).unwrap_or_else(|| self.present.len().saturating_sub(1))
     }
 
-    /// What the decision module is told: the classes by their numbers, those of earlier settings among them.
+    /// What the decision module has of them: the classes by their numbers, those of earlier settings among them.
     pub fn module(&self) -> Settings {
         let classes = (0..self.known.len()).map(|number| self.class_of(number)).collect();
         Settings { classes, ..self.setup.module() }
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -139,7 +139,7 @@
         Setup { discovery: other.discovery, ..self }
     }
 
-    /// What these settings say otherwise than others, in the words of the file.
+    /// What these settings say otherwise than others, by the names in the file.
     pub fn differs_from(&self, other: &Setup) -> Vec<String> {
         let count = || format!("{} balancers", self.balancers.unwrap_or(1));
         let parts = [
--- a/settings/src/read.rs
+++ b/settings/src/read.rs
@@ -9,13 +9,13 @@
 use crate::fields::{Faults, Fields, Met};
 use crate::{Lane, Project, Setup};
 
-/// The word for lists that come unasked.
+/// The name of lists that come unasked.
 const PUSHED: &str = "automatic";
-/// The word for lists that have to be asked for.
+/// The name of lists that have to be asked for.
 const ASKED: &str = "subscribe";
 
 impl Setup {
-    /// Reads settings that stand at a path; all faults are told at once, each with its path.
+    /// Reads settings that stand at a path; all faults are reported at once, each with its path.
     pub fn read(path: &str, value: &Value) -> Result<Setup, Faults> {
         let met = Met::default();
         let setup = setup(Fields::of(value, path, &met));
@@ -92,13 +92,13 @@
 }
 
 fn repeat(fields: Fields<'_>) -> Option<Repeat> {
-    let word: Option<String> = fields.or_default("dedup-scope");
+    let servers: Option<String> = fields.or_default("dedup-scope");
     let window = fields.or_default("repeat-window-ns");
     let effect: String = fields.need("effect")?;
     match effect.as_str() {
         "retryable" => Some(Repeat::Safe),
         "fragile" => Some(Repeat::Unsafe),
-        "dedup" => Some(Repeat::Keyed { scope: scope(&word?), window: window? }),
+        "dedup" => Some(Repeat::Keyed { scope: scope(&servers?), window: window? }),
         other => {
             fields.fault("effect", format!("unknown effect {other:?}"));
             None
@@ -106,8 +106,8 @@
     }
 }
 
-fn scope(word: &str) -> Scope {
-    match word {
+fn scope(name: &str) -> Scope {
+    match name {
         "zone" => Scope::Zone,
         "cell" => Scope::Cell,
         _ => Scope::All,
@@ -128,8 +128,8 @@
 }
 
 fn discovery(fields: Fields<'_>) -> Option<Discovery> {
-    let word: String = fields.need("discovery")?;
-    match word.as_str() {
+    let kind: String = fields.need("discovery")?;
+    match kind.as_str() {
         PUSHED => Some(Discovery::Pushed),
         ASKED => Some(Discovery::Asked),
         other => {
--- a/settings/tests/in_force.rs
+++ b/settings/tests/in_force.rs
@@ -9,11 +9,11 @@
 
 fn site(lanes: &[Lane<'_>]) -> Setup {
     let lane = |(name, effect, deadline, worth): &Lane<'_>| {
-        let mut words = effect.split(' ');
-        let window: u64 = words.clone().nth(2).map_or(0, |window| window.parse().expect("a number"));
+        let mut parts = effect.split(' ');
+        let window: u64 = parts.clone().nth(2).map_or(0, |window| window.parse().expect("a number"));
         json!({
             "name": name, "on-time-ns": 100_000_000, "hard-limit-ns": deadline * 1_000_000_000, "value": worth,
-            "effect": words.next(), "dedup-scope": words.next().unwrap_or_default(), "repeat-window-ns": window,
+            "effect": parts.next(), "dedup-scope": parts.next().unwrap_or_default(), "repeat-window-ns": window,
         })
     };
     let lanes: Vec<Value> = lanes.iter().map(lane).collect();
@@ -93,7 +93,7 @@
         let first = InForce::new(site(&[("a", before, 2, 1.0)]));
         let second = first.replaced_by(site(&[("a", after, 2, 1.0)]));
         assert_eq!(repeat_of(&second, first.class("a").expect("it was there")), both, "{before} to {after}");
-        // Both words stand side by side in the settings of the second.
+        // Both classes stand side by side in the settings of the second.
         let number = second.class("a").expect("it is there");
         assert_eq!(
             Some(repeat_of(&second, number)),
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -12,7 +12,7 @@
 }
 
 /// A day of arrivals, failures and silence; gives all actions, timers included.
-fn day(told: Option<&Settings>) -> Vec<Action> {
+fn day(replaced_by: Option<&Settings>) -> Vec<Action> {
     let mut balancer = Balancer::new(settings(), 5).expect("in range");
     let mut actions = Vec::new();
     let mut tell = |now: Nanos, event: Event| balancer.handle(now, event, &mut actions);
@@ -20,7 +20,7 @@
     for number in 0..200 {
         let now = number * 10 * MS;
         tell(now, Event::Arrived(arrival(number, number as usize % 5, now)));
-        if let Some(settings) = told.filter(|_| number % 50 == 7) {
+        if let Some(settings) = replaced_by.filter(|_| number % 50 == 7) {
             tell(now, Event::Settings(Box::new(settings.clone())));
         }
         let outcome = [Outcome::Reset, Outcome::Full, Outcome::TimedOut][number as usize % 3];
@@ -215,8 +215,8 @@
     for request in 0..240 {
         let group = Some(GroupId((request % 9) << 40));
         let now = gateway.now;
-        let told = Arrival { group, ..arrival(request, request as usize % 3, now) };
-        let mut made = gateway.tell(Event::Arrived(told));
+        let grouped = Arrival { group, ..arrival(request, request as usize % 3, now) };
+        let mut made = gateway.tell(Event::Arrived(grouped));
         match request % 5 {
             0 | 1 => gateway.settle(&made),
             2 => made.extend(gateway.end(request, 0, Outcome::Reset)),
@@ -299,8 +299,8 @@
     for request in 0..60 {
         let class = ClassId(request as usize % settings.classes.len());
         let give_up_at = gateway.now + settings.classes[class.0].deadline;
-        let told = Event::Arrived(Arrival { class, give_up_at, ..arrival(request, SAFE, 0) });
-        let mut made = gateway.tell(told);
+        let comes = Event::Arrived(Arrival { class, give_up_at, ..arrival(request, SAFE, 0) });
+        let mut made = gateway.tell(comes);
         match request % 4 {
             0 => gateway.settle(&made),
             1 => made.extend(gateway.end(request, 0, Outcome::Full)),
