A message behind the end of another begins with its own bytes

Change: after each whole message the next one begins with the bytes that are being read (stages/relay.rs). The test's new part fails without the change (seen).

--- a/balancer/src/stages/relay.rs
+++ b/balancer/src/stages/relay.rs
@@ -120,6 +120,8 @@
     was_slow: bool,
     /// When the first byte of the message came that is being read from it.
     message_began: Instant,
+    /// When what is being read came.
+    came: Instant,
     /// Its last word.
     last: Option<Seen>,
     /// The client is to be moved: since when, and why.
@@ -145,6 +147,7 @@
             asked: VecDeque::new(),
             was_slow: false,
             message_began: now,
+            came: now,
             last: None,
             moving: None,
         };
@@ -298,8 +301,9 @@
 
     /// Relays what the server sent, as far as it may go on. A move that waits goes out at the last boundary.
     fn backward(&mut self, bytes: &[u8], words: &[u8]) -> Result<(), End> {
+        self.notes.came = Instant::now();
         if self.kept.is_empty() && self.framer.is_between() {
-            self.notes.message_began = Instant::now();
+            self.notes.message_began = self.notes.came;
         }
         self.kept.extend_from_slice(bytes);
         // A message that comes with the word to move has begun: the move waits for its end.
@@ -429,6 +433,8 @@
     /// Takes note of a server's message; gives whether it goes on to the client.
     fn note(&mut self, seen: Seen) -> bool {
         self.last = Some(seen);
+        // What follows in the same bytes begins with them.
+        let began = std::mem::replace(&mut self.message_began, self.came);
         let answered = match seen {
             Seen::Answered => {
                 let oldest = self.asked.pop_front();
@@ -449,7 +455,7 @@
         };
         let Some(Asked { at, own }) = answered else { return true };
         // Guards against a network that delivers an answer in pieces: a server shows its strain by when it begins one.
-        let took = self.message_began.saturating_duration_since(at);
+        let took = began.saturating_duration_since(at);
         let slow = took >= self.core.slow();
         // Once more when messages are no longer slow, so that the core hears of it.
         if slow || self.was_slow {
--- a/cli/tests/pieces.rs
+++ b/cli/tests/pieces.rs
@@ -84,7 +84,17 @@
     client.hears("LOAD 12.5");
     let noted = |lines: &[String]| lines.iter().filter(|line| line.contains("Delay(")).count();
     assert_eq!(noted(&site.program.says_up_to("Load(12.5)")), 0, "the first piece came at once");
-    // An answer that begins late is a slow one, in one piece or in two.
+    // An answer that begins late is a slow one, also behind the end of a line that began in time.
+    client.say("M 2\r\n");
+    server.hears("M 2");
+    server.say("LOA");
+    client.bytes(3);
+    std::thread::sleep(rest_comes_after);
+    server.say("D 13.5\r\nok\r\n");
+    client.hears("D 13.5");
+    client.hears("ok");
+    site.program.says("Delay(");
+    // The same in one piece or in two.
     for pieces in [&["ok\r\n"][..], &["o", "k\r\n"]] {
         client.say("M 2\r\n");
         server.hears("M 2");
