What discovery says has a way of its own to the core, and not an event that is swapped

Cause, found on a second reading: Handle::tell looked at every event for a list, sent that on its own channel and put another event in its place, so that the event's own arm in the core was reached by tests alone.

Change: Handle::tell_of_servers sends the list and then the empty event that wakes the core; the event with the list is gone. The stories of connections have a server take a client in one place (Site::serve). Tests keep their assertions.

--- a/balancer/src/core/events.rs
+++ b/balancer/src/core/events.rs
@@ -12,7 +12,6 @@
 use super::{
     ApplicationServer, Counts, DoorConfig, DoorLook, InEffect, KnownNews, OverrideChange, ServerLook,
 };
-use crate::farm::News;
 
 /// What a client asks for, in the words of no wire.
 #[derive(Clone, Debug)]
@@ -62,10 +61,9 @@
     Left(u64),
     /// The connection's thread panicked; the client has been answered.
     Lost(u64),
-    /// News of the farm. It goes ahead of the events that were told before it.
-    Farm(News),
-    /// News of the farm has been told, and has been taken by the time that this is.
-    FarmTold,
+    /// What discovery says has been told ([`Handle::tell_of_servers`](super::Handle::tell_of_servers)), and has been taken
+    /// by the time that this is.
+    ServersTold,
     /// What a server said of its load; nothing if it did not answer.
     Probed(ServerId, Option<LoadAnswer>),
     /// A word on what the program is to be at; the answer is given once it holds.
--- a/balancer/src/core/fleet.rs
+++ b/balancer/src/core/fleet.rs
@@ -318,7 +318,7 @@
     /// The same story for a core, with what it ordered and decided.
     fn story(mut core: Core) -> (String, Core) {
         let orders = Arc::new(Orders::default());
-        core.take(Event::Farm(News::List(list(&[row("s0"), row("s1"), row("s2")].join(",")))));
+        core.hear_of_farm(News::List(list(&[row("s0"), row("s1"), row("s2")].join(","))));
         for id in 0..12 {
             testing::opens(&mut core, &orders, id, "acme", LONG);
         }
@@ -327,7 +327,7 @@
         }
         core.take(Event::Ended(3, Outcome::Reset, Duration::from_millis(900)));
         core.take(Event::Ended(8, Outcome::ConnectFailed, Duration::from_millis(2)));
-        core.take(Event::Farm(News::Failed(Duration::ZERO)));
+        core.hear_of_farm(News::Failed(Duration::ZERO));
         core.take(Event::Left(9));
         (orders.words(), core)
     }
@@ -394,7 +394,7 @@
         let mut core = testing::core(Clock::start(), Set::default());
         core.take(Event::Known(KnownNews::List(list(&row("s7")))));
         assert!(core.farm.by_name("s7").is_none());
-        core.take(Event::Farm(News::List(list(""))));
+        core.hear_of_farm(News::List(list("")));
         core.take(Event::Known(KnownNews::List(list(&row("s7")))));
         assert!(core.farm.by_name("s7").is_some());
     }
@@ -452,7 +452,7 @@
     #[test]
     fn the_sites_evidence_passes_a_server_over_and_moves_nobody() {
         let (mut core, orders) = (testing::core(Clock::start(), Set::default()), Arc::new(Orders::default()));
-        core.take(Event::Farm(News::List(list(&[row("s0"), row("s1")].join(",")))));
+        core.hear_of_farm(News::List(list(&[row("s0"), row("s1")].join(","))));
         (0..8).for_each(|id| testing::opens(&mut core, &orders, id, "acme", LONG));
         (0..8).for_each(|id| core.take(Event::Established(id)));
         let part = SitePart { passed: Some("it hangs".into()), part: 1.0, cold_since: 0 };
@@ -462,7 +462,7 @@
         let after: Vec<&str> = words.lines().filter(|line| line.contains("Pass")).skip(8).collect();
         assert!(after.len() == 8 && after.iter().all(|line| line.ends_with("to s0")), "{after:?}");
         assert!(!words.contains("Move"), "{words}");
-        core.take(Event::Farm(News::List(list(&[row("s0"), row("s1")].join(",")))));
+        core.hear_of_farm(News::List(list(&[row("s0"), row("s1")].join(","))));
         assert!(
             core.look().farm.iter().any(|server| server.name == "s1" && server.state.1 == api::State::Out)
         );
--- a/balancer/src/core/handle.rs
+++ b/balancer/src/core/handle.rs
@@ -68,16 +68,15 @@
 
     /// Tells the core. Once the core is gone, nothing is left to be told.
     pub fn tell(&self, event: Event) {
-        let event = match event {
-            Event::Farm(news) => {
-                let _ = self.told.farm.send(news);
-                Event::FarmTold
-            }
-            other => other,
-        };
         let _ = self.told.events.send(event);
     }
 
+    /// Tells the core what discovery says. It goes ahead of the events that were told before it.
+    pub fn tell_of_servers(&self, news: News) {
+        let _ = self.told.farm.send(news);
+        self.tell(Event::ServersTold);
+    }
+
     /// The clock of the program.
     pub fn clock(&self) -> Clock {
         self.clock
--- a/balancer/src/core/mod.rs
+++ b/balancer/src/core/mod.rs
@@ -195,8 +195,7 @@
                     self.decide(api::Event::ClientLeft(RequestId(id)));
                 }
             }
-            Event::Farm(news) => self.hear_of_farm(news),
-            Event::FarmTold => {}
+            Event::ServersTold => {}
             Event::Probed(server, answer) => {
                 debug!(part = self.name, server = server.0, ?answer, "probed");
                 let load = match answer {
--- a/balancer/src/core/start.rs
+++ b/balancer/src/core/start.rs
@@ -33,7 +33,7 @@
     pub clock: Clock,
     /// The farm as it was last known.
     pub known: List,
-    /// Asks for the farm; [`Event::Farm`](super::Event::Farm) follows.
+    /// Asks for the farm; [`Handle::tell_of_servers`] follows.
     pub watch: Sender<()>,
     /// Asks servers for their load, where the wire has a question for it; [`Event::Probed`](super::Event::Probed) follows.
     pub asker: Option<Box<dyn Asker>>,
--- a/balancer/src/core/turns.rs
+++ b/balancer/src/core/turns.rs
@@ -26,7 +26,7 @@
         let opening = testing::opening(id, "acme", LONG, core.clock.now());
         handle.open(opening, Arc::<Orders>::clone(&orders) as Arc<dyn Carrier>);
     }
-    handle.tell(Event::Farm(News::List(drains("s0", "s1"))));
+    handle.tell_of_servers(News::List(drains("s0", "s1")));
     assert!(core.turn(&inbox));
     assert!(server.leave_to_write().is_none(), "nobody begins to send there any more");
     while !inbox.events.is_empty() {
@@ -41,9 +41,9 @@
     let (handle, mut core, inbox) = testing::told_core(Clock::start(), Set::default());
     let (watch, asked) = crossbeam_channel::unbounded();
     core.watch = watch;
-    handle.tell(Event::Farm(News::Failed(Duration::ZERO)));
-    handle.tell(Event::Farm(News::List(drains("s0", "s1"))));
-    handle.tell(Event::Farm(News::Silent(Duration::from_millis(100))));
+    handle.tell_of_servers(News::Failed(Duration::ZERO));
+    handle.tell_of_servers(News::List(drains("s0", "s1")));
+    handle.tell_of_servers(News::Silent(Duration::from_millis(100)));
     assert!(core.turn(&inbox));
     assert!(inbox.farm.is_empty());
     while asked.is_empty() {
@@ -56,7 +56,7 @@
     let (handle, mut core, inbox) = testing::told_core(Clock::start(), Set::default());
     let (watch, asked) = crossbeam_channel::unbounded();
     core.watch = watch;
-    handle.tell(Event::Farm(News::Failed(Duration::ZERO)));
+    handle.tell_of_servers(News::Failed(Duration::ZERO));
     assert!(core.turn(&inbox));
     assert!(asked.is_empty(), "the call waits for its time");
     // The timer of that call goes with the module that set it.
--- a/balancer/src/reload.rs
+++ b/balancer/src/reload.rs
@@ -146,7 +146,7 @@
             (FarmSource::Servers(_), FarmSource::Servers(_), _) => {
                 *farms += 1;
                 if let Some((_, core)) = cores.iter().find(|(front, _)| *front == "nats") {
-                    core.tell(Event::Farm(News::List(new.farm.list(1 + *farms))));
+                    core.tell_of_servers(News::List(new.farm.list(1 + *farms)));
                 }
                 changes.taken.push("farm".into());
             }
--- a/balancer/src/serve.rs
+++ b/balancer/src/serve.rs
@@ -284,7 +284,7 @@
     spawn("farm", move || {
         watcher.run(|news| {
             let is_word = matches!(news, News::List(_));
-            told.tell(Event::Farm(news));
+            told.tell_of_servers(news);
             if is_word {
                 // Only the first is waited for.
                 let _ = heard.try_send(());
--- a/cli/tests/connections.rs
+++ b/cli/tests/connections.rs
@@ -101,10 +101,7 @@
         std::thread::sleep(Duration::from_millis(1_700));
         client.say("OPEN b1 02 c=chat,t=acme,d=2500,g=3\r\n");
     });
-    let mut server = Peer::accept(&site.servers[0]);
-    server.hear().expect("an opening");
-    server.say("UP r1\r\n");
-    client.hears("UP r1");
+    site.serve(&mut client);
 }
 
 #[test]
@@ -118,10 +115,7 @@
         std::thread::sleep(Duration::from_millis(100));
     }
     client.say("OPEN b1 02 c=chat,t=acme,d=2500,g=3\r\n");
-    let mut server = Peer::accept(&site.servers[0]);
-    server.hear().expect("an opening");
-    server.say("UP r1\r\n");
-    client.hears("UP r1");
+    site.serve(&mut client);
 }
 
 #[test]
@@ -154,10 +148,7 @@
             std::thread::sleep(due.saturating_duration_since(Instant::now()));
             client.say(&byte.to_string());
         }
-        let mut server = Peer::accept(&site.servers[0]);
-        server.hear().expect("an opening");
-        server.say("UP r1\r\n");
-        client.hears("UP r1");
+        site.serve(&mut client);
     }
 }
 
@@ -253,10 +244,7 @@
     socket.connect(&site.at.into()).expect("it listens");
     let mut client = Peer::new(socket.into());
     client.say("OPEN b1 02 c=chat,t=acme,d=2500,g=3\r\n");
-    let mut server = Peer::accept(&site.servers[0]);
-    server.hear().expect("an opening");
-    server.say("UP r1\r\n");
-    client.hears("UP r1");
+    let mut server = site.serve(&mut client);
     SockRef::from(&server.stream).set_send_buffer_size(64 * 1024).expect("open");
     let mut stream = server.stream.try_clone().expect("open");
     let (written, most) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(usize::MAX)));
@@ -332,10 +320,7 @@
         server.say(&format!("{first}\r\nUP forged\r\n"));
         assert!(server.is_gone());
     }
-    let mut server = Peer::accept(&site.servers[0]);
-    server.hear().expect("an opening");
-    server.say("UP r1\r\n");
-    client.hears("UP r1");
+    let mut server = site.serve(&mut client);
     server.say("BYE\r\n");
     server.finish();
     client.hears("BYE");
--- a/cli/tests/support/site.rs
+++ b/cli/tests/support/site.rs
@@ -63,10 +63,16 @@
     /// A standing connection: client and server.
     pub fn stand(&self) -> (Peer, Peer) {
         let mut client = self.open("chat", "");
+        let server = self.serve(&mut client);
+        (client, server)
+    }
+
+    /// Has the first server take the next opening, which is this client's; its connection there.
+    pub fn serve(&self, client: &mut Peer) -> Peer {
         let mut server = Peer::accept(&self.servers[0]);
         server.hear().expect("an opening");
         server.say("UP r1\r\n");
         client.hears("UP r1");
-        (client, server)
+        server
     }
 }
