Review case 2: its 60 clients come 10 ms apart, so that a busy machine plays it in time

One after the other, those who found no permit waited 4.8 s each: beside ten busy loops the script ran into its own limit of time (exit code 2). The check is as before.

--- a/review/stand-ins/src/bin/case2.rs
+++ b/review/stand-ins/src/bin/case2.rs
@@ -4,8 +4,9 @@
 
 use review_stand_ins::*;
 
-/// Bad connections, one after the other.
+/// Bad connections, and the time between two of them.
 const BAD_CLIENTS: usize = 60;
+const BAD_INTERVAL: Duration = Duration::from_millis(10);
 /// The other tenant's clients after them, and the time between two of them.
 const GOOD_CLIENTS: usize = 20;
 const GOOD_INTERVAL: Duration = Duration::from_millis(400);
@@ -73,16 +74,24 @@
     } else {
         "PUB readings 16\r\nxxxxxxxxxxxxxxxx\r\n"
     };
-    for number in 0..BAD_CLIENTS {
-        let name = format!("rude-{number}");
-        let (answer, took, stream) =
-            nats_client(listen, ("rude", &name, PASSWORD), more, ANSWER_WITHIN);
-        record.line(format!(
-            "{name}: sent CONNECT, PING, {:?}: {answer:?} after {} ms",
-            more.lines().next().unwrap_or_default(),
-            took.as_millis()
-        ));
-        drop(stream);
+    let bad_clients: Vec<_> = (0..BAD_CLIENTS)
+        .map(|number| {
+            std::thread::sleep(BAD_INTERVAL);
+            let record = record.clone();
+            std::thread::spawn(move || {
+                let name = format!("rude-{number}");
+                let (answer, took, _) =
+                    nats_client(listen, ("rude", &name, PASSWORD), more, ANSWER_WITHIN);
+                record.line(format!(
+                    "{name}: sent CONNECT, PING, {:?}: {answer:?} after {} ms",
+                    more.lines().next().unwrap_or_default(),
+                    took.as_millis()
+                ));
+            })
+        })
+        .collect();
+    for client in bad_clients {
+        let _ = client.join();
     }
     record.line("the clients of rude are gone; nothing more comes for 8 s, longer than any of their deadlines");
     std::thread::sleep(Duration::from_secs(8));
--- a/review/stand-ins/src/lib.rs
+++ b/review/stand-ins/src/lib.rs
@@ -88,7 +88,8 @@
         );
         std::thread::spawn(move || {
             sleep(limit);
-            record.line("the case took too long");
+            record.line("COULD NOT RUN: the case took too long");
+            println!("COULD NOT RUN: the case took too long");
             end_all(&children);
             let _ = std::fs::remove_dir_all(folder);
             std::process::exit(2);
