A probe answered without a load figure no longer excludes the server on the wire

Callers saw: where servers answer probes without the figure x0, requests waited for other servers and were refused, though the server had answered. On sockets the same answer counted as healthy (PONG without x0). Cause: the adapter read a probe's result as the load alone; a missing figure and a failed probe were both None, and the module took None for a full server. It also used a figure that came with a failed probe. Evidence: probe_answered_without_load_does_not_exclude_the_server failed before (0 attempts instead of 1 after a successful probe without a figure). The fix: the module's event carries what the probe showed (load, no load, unhealthy) in one type for both hosts; the adapter reads the status first.

--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -9,8 +9,9 @@
 use beaconflow_admission::Limits;
 use beaconflow_engine::{BalancerEngine, Engine};
 use beaconflow_policy::{
-    Action, AttemptEnd, ClassId, ClientKey, ConnectRequest, ConnectionMetric, Event, GroupId,
-    ListUpdate, Nanos, RequestId, ServerEntry, ServerId, ServerState, TimerId, ZoneId,
+    Action, AttemptEnd, AttemptOutcome, ClassId, ClientKey, ConnectRequest, ConnectionMetric,
+    Event, GroupId, ListUpdate, Nanos, ProbeAnswer, RequestId, ServerEntry, ServerId, ServerState,
+    TimerId, ZoneId,
 };
 use beaconflow_settings::{SiteSettings, digest};
 
@@ -237,7 +238,7 @@
         }),
         "HEALTH_RESULT" => Event::ProbeAnswered {
             server: instance.intern(required(message.server.as_deref(), "server")?),
-            load: message.gauge.as_ref().and_then(|gauge| gauge.x0),
+            answer: read_probe_answer(message)?,
         },
         "CLIENT_LEFT" => Event::ClientLeft(request()?),
         "DEADLINE_HIT" => Event::TimerFired(TimerId(required(message.mark, "mark")?)),
@@ -245,6 +246,16 @@
     }))
 }
 
+/// What a probe showed. A server that answers without a load is not known to be loaded.
+fn read_probe_answer(message: &Line) -> Result<ProbeAnswer, String> {
+    let outcome = wire::outcome(required(message.status, "status")?).ok_or("unknown status")?;
+    if outcome != AttemptOutcome::Served {
+        return Ok(ProbeAnswer::Unhealthy);
+    }
+    let load = message.gauge.as_ref().and_then(|gauge| gauge.x0);
+    Ok(load.map_or(ProbeAnswer::NoLoad, ProbeAnswer::Load))
+}
+
 fn read_connect_request(message: &Line) -> Result<ConnectRequest, String> {
     Ok(ConnectRequest {
         request: RequestId(required(message.req, "req")?),
--- a/crates/adapter/tests/transcripts.rs
+++ b/crates/adapter/tests/transcripts.rs
@@ -161,3 +161,36 @@
     );
     assert!(!stdout(&restarted).contains(answer));
 }
+
+/// A server that answers a probe without a load is used; one that fails the probe is not.
+#[test]
+fn probe_answered_without_load_does_not_exclude_the_server() {
+    let outcomes = [
+        (r#""status":1,"gauge":{"x0":0.2}"#, 1),
+        (r#""status":1,"gauge":{"x0":0.95}"#, 0),
+        (r#""status":1,"gauge":{"busy":0.2}"#, 1),
+        (r#""status":1"#, 1),
+        (r#""status":5"#, 0),
+        (r#""status":4,"gauge":{"x0":0.2}"#, 0),
+    ];
+    for (outcome, attempts) in outcomes {
+        let ask = r#"{"what":"ASK","balancer-id":"balancer/0","req":7,"give-up-at-ns":900000000,"grade":0}"#;
+        let answer = format!(
+            "{{\"what\":\"TICK\",\"time-ns\":6}}\n\
+             {{\"what\":\"HEALTH_RESULT\",\"balancer-id\":\"balancer/0\",\"elapsed-ns\":1,\"server\":\"server-a\",{outcome}}}\n\
+             {{\"what\":\"FLUSH\"}}\n"
+        );
+        let setup = batch(ask).replace(
+            r#""max-attempts":3"#,
+            r#""max-attempts":3,"may-probe":true"#,
+        );
+        let setup = setup.replace(r#""novel-key""#, r#""report":{"names":["x0"]},"novel-key""#);
+        let output = stdout(&run(&format!("{setup}{answer}")));
+        assert!(output.contains("\"TOUCH\""), "{output}");
+        assert_eq!(
+            output.matches("\"CALL_OUT\"").count(),
+            attempts,
+            "after {outcome}: {output}"
+        );
+    }
+}
--- a/crates/balancer/src/core/messages.rs
+++ b/crates/balancer/src/core/messages.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use beaconflow_overrides::CoverageGaps;
-use beaconflow_policy::{AttemptOutcome, ConnectionMetric, Nanos, ServerId};
+use beaconflow_policy::{AttemptOutcome, ConnectionMetric, Nanos, ProbeAnswer, ServerId};
 use beaconflow_settings::ActiveSettings;
 use crossbeam_channel::Sender;
 
@@ -97,8 +97,8 @@
     ProbeAnswered {
         /// The server that was probed.
         server: ServerId,
-        /// Its answer; `None` if the probe failed.
-        answer: Option<ProbeAnswer>,
+        /// What the probe showed.
+        answer: ProbeAnswer,
     },
     /// A lifecycle command.
     LifecycleCommanded {
@@ -158,17 +158,6 @@
     fn probe(&self, id: ServerId, server: Arc<Endpoint>);
 }
 
-/// A server's answer to a probe.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum ProbeAnswer {
-    /// Load relative to capacity.
-    Load(f64),
-    /// It answered without a usable load.
-    NoLoad,
-    /// It reported an error, or its answer can't be parsed.
-    Unhealthy,
-}
-
 /// Time limits of an attempt. The core sets them as instants, so that the time a command spends in
 /// a queue counts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/balancer/src/core/mod.rs
+++ b/crates/balancer/src/core/mod.rs
@@ -35,7 +35,9 @@
 use beaconflow_admission::NotAdmitted;
 use beaconflow_overrides::{CoverageGaps, MigrationPacer, OverrideId};
 use beaconflow_policy::Balancer;
-use beaconflow_policy::{self as policy, Action, Nanos, RequestId, ServerId, Settings, TimerId};
+use beaconflow_policy::{
+    self as policy, Action, Nanos, ProbeAnswer, RequestId, ServerId, Settings, TimerId,
+};
 use beaconflow_settings::ActiveSettings;
 use crossbeam_channel::{RecvTimeoutError, Sender};
 use tracing::debug;
@@ -56,7 +58,7 @@
 use lifecycle::{Lifecycle, LifecycleView};
 pub use messages::{
     AttemptTiming, ClientRequest, CommandSender, ConnectionCommand, CoreInput, CoreSnapshot,
-    LifecycleReply, LoadProber, ProbeAnswer,
+    LifecycleReply, LoadProber,
 };
 pub use overrides::{OverrideChange, OverridesApplied};
 use requests::RequestTable;
@@ -263,20 +265,14 @@
         }
     }
 
-    fn on_probe_answered(&mut self, server: ServerId, answer: Option<ProbeAnswer>) {
+    fn on_probe_answered(&mut self, server: ServerId, answer: ProbeAnswer) {
         debug!(
             part = self.name,
             server = server.0,
             ?answer,
             "server probed"
         );
-        let load = match answer {
-            Some(ProbeAnswer::Load(load)) => Some(load),
-            // A server that reports no load is not known to be overloaded.
-            Some(ProbeAnswer::NoLoad) => Some(0.0),
-            Some(ProbeAnswer::Unhealthy) | None => None,
-        };
-        self.run_policy(policy::Event::ProbeAnswered { server, load });
+        self.run_policy(policy::Event::ProbeAnswered { server, answer });
     }
 
     fn set_timer(&mut self, after: Duration, kind: TimerKind) {
--- a/crates/balancer/src/front/platform.rs
+++ b/crates/balancer/src/front/platform.rs
@@ -6,13 +6,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use beaconflow_policy::ProbeAnswer;
 use beaconflow_settings::digest;
 
 use super::{ClientMessage, Framer, Front, HandshakeError, HandshakeLine, Rejection};
 use crate::attempt::{AttemptError, ServerAnswer, ServerExchange};
 use crate::config::SharedSettings;
+use crate::core::ClientRequest;
 use crate::core::lifecycle::LifecycleState;
-use crate::core::{ClientRequest, ProbeAnswer};
 use crate::net::trim_line_end;
 use crate::prober::LoadProbe;
 use framer::LineFramer;
--- a/crates/balancer/src/prober.rs
+++ b/crates/balancer/src/prober.rs
@@ -12,12 +12,12 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use beaconflow_policy::ServerId;
+use beaconflow_policy::{ProbeAnswer, ServerId};
 use crossbeam_channel::{Receiver, Sender, unbounded};
 use socket2::{Domain, Socket, Type};
 use tracing::debug;
 
-use crate::core::{Endpoint, LoadProber, ProbeAnswer};
+use crate::core::{Endpoint, LoadProber};
 use crate::net::{self, ReadBuffer, ReadError};
 use crate::poller::{EventFlags, Poller, Waker};
 
@@ -129,7 +129,7 @@
 
     /// Runs until all handles are dropped; reports the answer to each probe, or `None` if there was
     /// none.
-    pub fn run(mut self, on_answer: impl Fn(ServerId, Option<ProbeAnswer>)) {
+    pub fn run(mut self, on_answer: impl Fn(ServerId, ProbeAnswer)) {
         loop {
             let ready_tokens = self.poller.wait(self.wait_timeout());
             for token in ready_tokens {
@@ -192,7 +192,7 @@
         &mut self,
         id: ServerId,
         server: &Endpoint,
-        on_answer: &impl Fn(ServerId, Option<ProbeAnswer>),
+        on_answer: &impl Fn(ServerId, ProbeAnswer),
     ) {
         // The server may have restarted under another address.
         if self
@@ -205,7 +205,7 @@
         if !self.connections.contains_key(&id) && !self.close_idle_beyond(1) {
             debug!(part = "prober", server = %server.name, "no file descriptor is left for a probe");
             // A server must not be skipped because this process lacks descriptors.
-            return on_answer(id, Some(ProbeAnswer::NoLoad));
+            return on_answer(id, ProbeAnswer::NoLoad);
         }
         let connection = match self.connections.entry(id) {
             Entry::Occupied(connection) => connection.into_mut(),
@@ -213,7 +213,7 @@
                 Ok(connection) => entry.insert(connection),
                 Err(error) => {
                     debug!(part = "prober", server = %server.name, why = %error, "could not connect for a probe");
-                    return on_answer(id, None);
+                    return on_answer(id, ProbeAnswer::Unhealthy);
                 }
             },
         };
@@ -234,7 +234,7 @@
         }
     }
 
-    fn on_ready(&mut self, id: ServerId, on_answer: &impl Fn(ServerId, Option<ProbeAnswer>)) {
+    fn on_ready(&mut self, id: ServerId, on_answer: &impl Fn(ServerId, ProbeAnswer)) {
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
@@ -263,24 +263,24 @@
         }
         while let Some(answer) = connection.read_buffer.next_line() {
             if connection.pending_since.take().is_some() {
-                on_answer(id, Some((self.probe.parse)(net::trim_line_end(&answer))));
+                on_answer(id, (self.probe.parse)(net::trim_line_end(&answer)));
             }
         }
     }
 
     /// Closes a connection; a pending probe fails.
-    fn close(&mut self, id: ServerId, on_answer: &impl Fn(ServerId, Option<ProbeAnswer>)) {
+    fn close(&mut self, id: ServerId, on_answer: &impl Fn(ServerId, ProbeAnswer)) {
         if self
             .connections
             .remove(&id)
             .is_some_and(|connection| connection.pending_since.is_some())
         {
-            on_answer(id, None);
+            on_answer(id, ProbeAnswer::Unhealthy);
         }
     }
 
     /// Closes connections whose probe timed out or that are idle.
-    fn close_expired(&mut self, on_answer: &impl Fn(ServerId, Option<ProbeAnswer>)) {
+    fn close_expired(&mut self, on_answer: &impl Fn(ServerId, ProbeAnswer)) {
         self.close_idle_beyond(0);
         let is_expired = |connection: &ProbeConnection| match connection.pending_since {
             Some(at) => at.elapsed() >= (self.timeout)(),
--- a/crates/balancer/src/prober/tests.rs
+++ b/crates/balancer/src/prober/tests.rs
@@ -7,7 +7,7 @@
 use crate::front::platform::LOAD_PROBE;
 
 /// Probes a server that answers as given, once for each answer; returns what the prober reports.
-fn probe_results(answers: &'static [Option<&'static str>]) -> Vec<Option<ProbeAnswer>> {
+fn probe_results(answers: &'static [Option<&'static str>]) -> Vec<ProbeAnswer> {
     let listener = TcpListener::bind("127.0.0.1:0").expect("bind to a loopback port");
     let address = listener.local_addr().expect("local address");
     std::thread::spawn(move || {
@@ -55,19 +55,23 @@
 fn reports_load_and_none_without_complete_answer() {
     assert_eq!(
         probe_results(&[Some("PONG x0=0.61,queue=2\r\n")]),
-        [Some(ProbeAnswer::Load(0.61))]
+        [ProbeAnswer::Load(0.61)]
     );
     assert_eq!(
         probe_results(&[Some("PONG x0=0.6")]),
-        [None],
+        [ProbeAnswer::Unhealthy],
         "an incomplete answer"
     );
-    assert_eq!(probe_results(&[None]), [None], "no answer in time");
+    assert_eq!(
+        probe_results(&[None]),
+        [ProbeAnswer::Unhealthy],
+        "no answer in time"
+    );
     // A connection without an answer is not used again: a late answer would be taken for the next
     // one.
     assert_eq!(
         probe_results(&[None, Some("PONG x0=1.5\r\n")]),
-        [None, Some(ProbeAnswer::Load(1.5))]
+        [ProbeAnswer::Unhealthy, ProbeAnswer::Load(1.5)]
     );
 }
 
@@ -89,7 +93,7 @@
     prober_handle.probe(ServerId(3), Arc::new(Endpoint::new("s3".into(), address)));
     assert_eq!(
         results.recv_timeout(Duration::from_secs(10)),
-        Ok((ServerId(3), None))
+        Ok((ServerId(3), ProbeAnswer::Unhealthy))
     );
 }
 
@@ -136,10 +140,7 @@
                 .expect("the test receives closes");
         });
         prober_handle.probe(ServerId(number), Arc::new(server));
-        assert_eq!(
-            next_result(),
-            (ServerId(number), Some(ProbeAnswer::Load(1.0)))
-        );
+        assert_eq!(next_result(), (ServerId(number), ProbeAnswer::Load(1.0)));
         // The least recently used connection was closed.
         if number >= 2 {
             assert_eq!(closed.recv_timeout(Duration::from_secs(10)), Ok(number - 2));
@@ -167,5 +168,5 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("bind to a loopback port");
     let server = Endpoint::new("s".into(), listener.local_addr().expect("local address"));
     prober_handle.probe(ServerId(9), Arc::new(server));
-    assert_eq!(next_result(), (ServerId(9), Some(ProbeAnswer::NoLoad)));
+    assert_eq!(next_result(), (ServerId(9), ProbeAnswer::NoLoad));
 }
--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -107,8 +107,8 @@
                 self.on_connection_measured(now, request, attempt, metric, actions);
             }
             Event::AttemptEnded(end) => self.on_attempt_ended(now, end, actions),
-            Event::ProbeAnswered { server, load } => {
-                self.on_probe_answered(now, server, load, actions)
+            Event::ProbeAnswered { server, answer } => {
+                self.on_probe_answered(now, server, answer, actions)
             }
             Event::ClientLeft(request) => self.remove_request(request),
             Event::PermitGranted(request) => self.on_permit_granted(now, request, actions),
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -141,6 +141,17 @@
     MessageLatency(Nanos),
 }
 
+/// The result of a probe for a server's load.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ProbeAnswer {
+    /// The server reported its load, relative to its capacity.
+    Load(f64),
+    /// The server answered without a usable load.
+    NoLoad,
+    /// The server reported an error, its answer can't be parsed, or there was none in time.
+    Unhealthy,
+}
+
 /// An event that the host reports.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -186,8 +197,8 @@
     ProbeAnswered {
         /// The server that was probed.
         server: ServerId,
-        /// Load relative to capacity, or `None` if the server did not answer.
-        load: Option<f64>,
+        /// What the probe showed.
+        answer: ProbeAnswer,
     },
     /// The client left. No answer is owed any more.
     ClientLeft(RequestId),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -120,7 +120,7 @@
 pub use balancer::Balancer;
 pub use event::{
     AttemptEnd, AttemptOutcome, ConnectRequest, ConnectionMetric, Event, ListUpdate, Pin,
-    ServerEntry, ServerState,
+    ProbeAnswer, ServerEntry, ServerState,
 };
 pub use ids::{ClassId, ClientKey, GroupId, RequestId, ServerId, TimerId, ZoneId};
 pub use settings::{
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -6,7 +6,7 @@
 
 use crate::action::Action;
 use crate::balancer::Balancer;
-use crate::event::Pin;
+use crate::event::{Pin, ProbeAnswer};
 use crate::ids::{GroupId, RequestId, ServerId};
 use crate::request_table::RequestState;
 use crate::server::Server;
@@ -123,10 +123,14 @@
         &mut self,
         now: Nanos,
         server: ServerId,
-        load: Option<f64>,
+        answer: ProbeAnswer,
         actions: &mut Vec<Action>,
     ) {
-        let is_full = load.is_none_or(|load| load >= FULL_LOAD);
+        let is_full = match answer {
+            ProbeAnswer::Load(load) => load >= FULL_LOAD,
+            ProbeAnswer::NoLoad => false,
+            ProbeAnswer::Unhealthy => true,
+        };
         self.servers.record_load_report(now, server, is_full);
         let waiting: BTreeSet<RequestId> = self.requests.take_awaiting_probe(server);
         for request in waiting {
--- a/crates/policy/tests/invariants.rs
+++ b/crates/policy/tests/invariants.rs
@@ -320,8 +320,12 @@
             }
             9 if !self.probes.is_empty() => {
                 let server = self.probes.remove(usize::from(pick) % self.probes.len());
-                let load = (span % 4 > 0).then_some(f64::from(span % 100) / 100.0);
-                self.handle(Event::ProbeAnswered { server, load });
+                let answer = match span % 4 {
+                    0 => ProbeAnswer::Unhealthy,
+                    1 if span % 3 == 0 => ProbeAnswer::NoLoad,
+                    _ => ProbeAnswer::Load(f64::from(span % 100) / 100.0),
+                };
+                self.handle(Event::ProbeAnswered { server, answer });
             }
             _ => self.advance(MS * Nanos::from(span % 700)),
         }
--- a/crates/policy/tests/rotation.rs
+++ b/crates/policy/tests/rotation.rs
@@ -547,18 +547,18 @@
     let first = probed_servers(&actions)[0];
     let second = probed_servers(&balancer.handle(Event::ProbeAnswered {
         server: first,
-        load: Some(0.95),
+        answer: ProbeAnswer::Load(0.95),
     }))[0];
     assert_ne!(first, second);
     let sent = balancer.handle(Event::ProbeAnswered {
         server: second,
-        load: Some(0.3),
+        answer: ProbeAnswer::Load(0.3),
     });
     assert_eq!(attempted_servers(&sent), [second]);
     assert!(
         attempted_servers(&balancer.handle(Event::ProbeAnswered {
             server: second,
-            load: Some(0.3)
+            answer: ProbeAnswer::Load(0.3)
         }))
         .is_empty()
     );
@@ -571,7 +571,7 @@
     let first = probed_servers(&balancer.request(1, IDEMPOTENT))[0];
     let second = probed_servers(&balancer.handle(Event::ProbeAnswered {
         server: first,
-        load: None,
+        answer: ProbeAnswer::Unhealthy,
     }))[0];
     assert_ne!(first, second);
     let answers = balancer.advance(5 * SECOND);
@@ -581,7 +581,7 @@
     );
     let late_answer = balancer.handle(Event::ProbeAnswered {
         server: second,
-        load: Some(0.1),
+        answer: ProbeAnswer::Load(0.1),
     });
     assert!(
         attempted_servers(&late_answer).is_empty(),
@@ -655,7 +655,7 @@
     );
     balancer.handle(Event::ProbeAnswered {
         server: ServerId(0),
-        load: Some(0.1),
+        answer: ProbeAnswer::Load(0.1),
     });
     assert!(
         attempted_servers(&balancer.handle(Event::ConnectRequested(connect_request(
