The names of reported figures no longer decide whether servers are probed

Callers saw: with may-probe set, servers were probed only if report.names held the word x0; under any other name the whole way of placement changed (no probes before a placement, connections moved for balance). Cause: settings/src/read.rs cleared can_probe unless the list of names contained x0. The names say what a report holds; the permission is policy-limits.may-probe. The fix: report.names is not read.

--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -54,8 +54,6 @@
     let classes = named_classes(fields, message_objectives.as_deref().unwrap_or_default());
     let tenants = tenant_shares(fields);
     let (discovery, has_live_weights) = (discovery(fields), has_live_weights(fields));
-    let reported_names: Option<Vec<String>> =
-        fields.object("report", |report| report.optional_or_default("names"));
     let limits = fields.required_object("policy-limits", limits);
     let rules = fields.required_object("rules", rules);
     let cross_zone_cost = fields.object("prices", |prices| {
@@ -67,8 +65,6 @@
         );
         cost
     });
-    let mut limits = limits?;
-    limits.can_probe &= reported_names?.iter().any(|name| name == "x0");
     Some(SiteSettings {
         balancers: balancers?,
         rank: rank?,
@@ -78,7 +74,7 @@
         tenants: tenants?,
         discovery: discovery?,
         has_live_weights: has_live_weights?,
-        limits,
+        limits: limits?,
         rules: rules?,
         costs: TrafficCosts {
             cross_zone: cross_zone_cost?,
