Evening out is left to servers that report their load, not to the permission to probe

Callers saw: where probes are allowed, a server that held far more than its share kept all its connections, though no server there told its load. Cause: rebalance() returned at once if can_probe was set; the permission stood in for the fact that a server's load is known. Evidence: rebalancing_ignores_chance_and_reported_loads, widened to balancers that may probe and have no report, failed before (0 migrations instead of 1 after an answer without a load). The fix: a server that has reported its load is left alone; any other is judged by this balancer's connections, as before.

--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -32,8 +32,6 @@
 const LOAD_REPORT_VALIDITY: Nanos = 500_000_000;
 /// Most servers that are probed for one request before it backs off.
 const MAX_PROBES: u32 = 8;
-/// A server that reports this fraction of its capacity gets no new connections.
-const FULL_LOAD: f64 = 0.7;
 
 /// Reasons against a server for a request, the gravest first.
 #[derive(Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -126,12 +124,7 @@
         answer: ProbeAnswer,
         actions: &mut Vec<Action>,
     ) {
-        let is_full = match answer {
-            ProbeAnswer::Load(load) => load >= FULL_LOAD,
-            ProbeAnswer::NoLoad => false,
-            ProbeAnswer::Unhealthy => true,
-        };
-        self.servers.record_load_report(now, server, is_full);
+        self.servers.record_probe_answer(now, server, answer);
         let waiting: BTreeSet<RequestId> = self.requests.take_awaiting_probe(server);
         for request in waiting {
             self.place(now, request, actions);
--- a/crates/policy/src/rebalancing.rs
+++ b/crates/policy/src/rebalancing.rs
@@ -38,9 +38,6 @@
     /// Servers that report their load are known better than by this balancer's connections; they
     /// are left alone.
     pub(crate) fn rebalance(&mut self, actions: &mut Vec<Action>) {
-        if self.settings.limits.can_probe {
-            return;
-        }
         let ready_weight = self.ready_weight.max(f64::MIN_POSITIVE);
         let limit = (1.0 + EXCESS_FRACTION) * self.servers.total_load() / ready_weight;
         // The fewer of all connections a balancer sees, the more of its imbalance is chance.
@@ -49,6 +46,7 @@
         let loads = self.servers.loads_of_ready();
         for own in &loads {
             if own.load > limit * own.weight + tolerance
+                && !self.servers.listed(own.server).has_reported_load
                 && let Some(id) = self.connection_to_rebalance(own, &loads)
             {
                 self.migrate(id, MigrationReason::Rebalancing, actions);
--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -38,6 +38,8 @@
     /// End of the pause that follows a sign of overload.
     pub(crate) paused_until: Nanos,
     pub(crate) load_report: Option<LoadReport>,
+    /// Whether it has ever reported its load.
+    pub(crate) has_reported_load: bool,
     /// Fraction of its capacity that it has at least; 1 after slow start.
     pub(crate) capacity: f64,
     /// Its weight while it holds nothing.
@@ -62,6 +64,7 @@
             resets: DecayingCount::default(),
             paused_until: 0,
             load_report: None,
+            has_reported_load: false,
             capacity: 1.0,
             size: 1.0,
             slow_start_considered_at: 0,
--- a/crates/policy/src/server_table.rs
+++ b/crates/policy/src/server_table.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::event::{ServerEntry, ServerState};
+use crate::event::{ProbeAnswer, ServerEntry, ServerState};
 use crate::ids::{ClassId, ServerId};
 use crate::load::{DecayingCount, LoadSum, MeanLoad};
 use crate::rotation::Rotation;
@@ -11,6 +11,8 @@
 use crate::slow_start::FleetCapacity;
 use crate::time::{Nanos, is_within};
 
+/// A server that reports this fraction of its capacity gets no new connections.
+const FULL_LOAD: f64 = 0.7;
 /// Time constant of the count of reset connections, in seconds.
 const RESET_COUNT_S: f64 = 5.0;
 
@@ -274,8 +276,14 @@
 
     // ---- health ----
 
-    pub(crate) fn record_load_report(&mut self, now: Nanos, id: ServerId, is_full: bool) {
+    pub(crate) fn record_probe_answer(&mut self, now: Nanos, id: ServerId, answer: ProbeAnswer) {
+        let is_full = match answer {
+            ProbeAnswer::Load(load) => load >= FULL_LOAD,
+            ProbeAnswer::NoLoad => false,
+            ProbeAnswer::Unhealthy => true,
+        };
         if let Some(server) = self.servers.get_mut(&id) {
+            server.has_reported_load |= matches!(answer, ProbeAnswer::Load(_));
             server.load_report = Some(LoadReport {
                 received_at: now,
                 is_full,
--- a/crates/policy/tests/large_fleet.rs
+++ b/crates/policy/tests/large_fleet.rs
@@ -83,12 +83,22 @@
 #[test]
 fn rebalancing_ignores_chance_and_reported_loads() {
     let cases = [(1, 8, 1), (3, 8, 1), (48, 8, 0), (300, 8, 0), (300, 30, 1)];
-    let cases = cases
-        .map(|(balancers, connections, migrations)| (balancers, connections, migrations, false));
-    let cases = cases.into_iter().chain([(3, 30, 0, true)]);
-    for (balancers, connections, migrations, can_probe) in cases {
+    let unreported =
+        cases
+            .into_iter()
+            .chain([(3, 30, 1)])
+            .flat_map(|(balancers, connections, migrations)| {
+                let answers = [
+                    None,
+                    Some(ProbeAnswer::NoLoad),
+                    Some(ProbeAnswer::Unhealthy),
+                ];
+                answers.map(|answer| (balancers, connections, migrations, answer))
+            });
+    let cases = unreported.chain([(3, 30, 0, Some(ProbeAnswer::Load(0.5)))]);
+    for (balancers, connections, migrations, answer) in cases {
         let limits = Limits {
-            can_probe,
+            can_probe: answer.is_some(),
             ..settings().limits
         };
         let mut balancer = TestBalancer::with_servers(
@@ -109,6 +119,10 @@
                 ConnectionMetric::Load(if id == 5 { 900.0 } else { 100.0 }),
             );
         }
+        if let Some(answer) = answer {
+            let server = ServerId(0);
+            balancer.handle(Event::ProbeAnswered { server, answer });
+        }
         let migrated = balancer
             .advance(SECOND)
             .into_iter()
@@ -116,7 +130,8 @@
         assert_eq!(
             migrated.count(),
             migrations,
-            "migrations with {connections} connections on one server at one of {balancers} balancers"
+            "migrations with {connections} connections on one server at one of {balancers} \
+             balancers after the answer {answer:?}"
         );
     }
 }
