Prices no longer decide which servers are preferred

Callers saw: a server of the balancer's own zone got 1 + 100 x prices.cross-zone times the connections that its weight gives, so that a figure of the operators' accounts loaded some servers more than others. Cause: settings/src/read.rs read prices.cross-zone into TrafficCosts, and local_weight() multiplied the listed weight by it. The fix: prices are not read, the rotation follows the listed weights, and the policy's settings have no own zone.

--- a/crates/adapter/tests/unused_settings.rs
+++ b/crates/adapter/tests/unused_settings.rs
@@ -51,3 +51,21 @@
         assert_eq!(with_names(names), plain, "with the names {names}");
     }
 }
+
+/// Prices belong to the operators' accounts: traffic across zones costs callers nothing.
+#[test]
+fn prices_do_not_affect_decisions() {
+    let transcript = PLAIN.transcript();
+    let prices = "\"prices\":{\"cross-zone\":0.009}";
+    assert!(transcript.contains(prices));
+    let plain = PLAIN.decisions();
+    for other in [
+        "{}",
+        "{\"cross-zone\":100.0}",
+        "{\"cross-zone\":-1.0,\"moves\":5.0,\"probe\":\"dear\"}",
+        "null",
+    ] {
+        let changed = transcript.replace(prices, &format!("\"prices\":{other}"));
+        assert_eq!(run_adapter(changed), plain, "with the prices {other}");
+    }
+}
--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -13,6 +13,7 @@
 use crate::ids::{RequestId, ServerId, TimerId};
 use crate::load_limit::LoadLimit;
 use crate::request_table::RequestTable;
+use crate::server::Server;
 use crate::server_table::ServerTable;
 use crate::settings::{DiscoveryMode, Settings, SettingsError};
 use crate::setup_latency::SetupLatency;
@@ -41,7 +42,7 @@
     pub(crate) setup_latency: SetupLatency,
     pub(crate) load_limit: LoadLimit,
     pub(crate) slow_start: SlowStart,
-    /// Number and total local weight of the ready servers, when last counted.
+    /// Number and total weight of the ready servers, when last counted.
     pub(crate) ready_servers: usize,
     pub(crate) ready_weight: f64,
     /// Calls for the server list that failed in a row.
@@ -199,7 +200,7 @@
         // The random lead gives each balancer its own order, so that not all begin with the same
         // servers.
         for id in self.servers.ids() {
-            let lead = self.rng.random_range(0.0..1.0) / self.local_weight(self.servers.listed(id));
+            let lead = self.rng.random_range(0.0..1.0) / self.servers.listed(id).weight();
             self.servers.update_rotation(id, lead);
         }
     }
@@ -213,11 +214,7 @@
         {
             self.groups.clear_orders();
         }
-        self.ready_weight = self
-            .servers
-            .ready()
-            .map(|server| self.local_weight(server))
-            .sum();
+        self.ready_weight = self.servers.ready().map(Server::weight).sum();
         self.ready_servers = self.servers.ready().count();
         let connections_on_warm = self.servers.load_on_warm() / self.mean_connection_load();
         let capacity = self.servers.capacity();
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -26,7 +26,7 @@
     pub name_hash: u64,
     /// Whether the server accepts new connections.
     pub state: ServerState,
-    /// The zone, by which the cost of traffic and the scope of idempotency keys are determined.
+    /// The zone, a possible scope of idempotency keys.
     pub zone: ZoneId,
     /// The cell, a possible scope of idempotency keys.
     pub cell: u32,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,7 +10,6 @@
 //! let settings = Settings {
 //!     balancers: 4,
 //!     rank: 0,
-//!     zone: ZoneId(0),
 //!     classes: vec![RequestClass {
 //!         latency_objective: 300_000_000,
 //!         deadline: 1_800_000_000,
@@ -34,7 +33,6 @@
 //!         overload_window: 1_500_000_000,
 //!         list_max_age: 0,
 //!     },
-//!     costs: TrafficCosts::default(),
 //! };
 //! let mut balancer = Balancer::new(settings, 7)?;
 //! let mut actions = Vec::new();
@@ -125,6 +123,6 @@
 pub use ids::{ClassId, ClientKey, GroupId, RequestId, ServerId, TimerId, ZoneId};
 pub use settings::{
     DedupScope, DiscoveryMode, Limits, RequestClass, RetrySafety, ServerRules, Settings,
-    SettingsError, TrafficCosts,
+    SettingsError,
 };
 pub use time::Nanos;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -26,8 +26,6 @@
 const FIT_FRACTION: f64 = 0.5;
 /// Greatest ratio between the priority weights of two classes that is acted upon.
 const MAX_PRIORITY_RATIO: f64 = 10.0;
-/// Extra weight of a server in the balancer's own zone, times the cost of crossing.
-const OWN_ZONE_FACTOR: f64 = 100.0;
 /// A load report is valid for this long, in nanoseconds.
 const LOAD_REPORT_VALIDITY: Nanos = 500_000_000;
 /// Most servers that are probed for one request before it backs off.
@@ -71,7 +69,7 @@
             }
             return self.probe(now, id, server, actions);
         }
-        let stride = 1.0 / self.local_weight(self.servers.listed(server));
+        let stride = 1.0 / self.servers.listed(server).weight();
         self.servers.advance_rotation(server, stride);
         self.requests.begin_attempt(now, id, server);
         self.add_connection(id, server);
@@ -207,7 +205,7 @@
             if !is_allowed || !self.has_capacity_for(now, server, required_load) {
                 continue;
             }
-            let fair_load = load_per_weight * self.local_weight(server) * server.capacity;
+            let fair_load = load_per_weight * server.weight() * server.capacity;
             let objections = Objections {
                 is_ejected,
                 has_failed_last: request.last_failed_server == Some(id),
@@ -272,17 +270,6 @@
         FIT_FRACTION * self.load_of(request) * ratio.sqrt()
     }
 
-    /// The listed weight, increased for servers of the own zone where crossing zones has a cost.
-    pub(crate) fn local_weight(&self, server: &Server) -> f64 {
-        let is_own_zone = server.entry.zone == self.settings.zone;
-        let preference = if is_own_zone {
-            1.0 + OWN_ZONE_FACTOR * self.settings.costs.cross_zone
-        } else {
-            1.0
-        };
-        server.weight() * preference
-    }
-
     /// Whether a server takes a placement now. One in slow start does so with the probability that
     /// its budget gives.
     fn admits_in_slow_start(&mut self, now: Nanos, id: ServerId) -> bool {
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -2,7 +2,7 @@
 
 use thiserror::Error;
 
-use crate::ids::{ClassId, ZoneId};
+use crate::ids::ClassId;
 use crate::time::{Nanos, seconds};
 
 /// The set of servers that share one record of idempotency keys.
@@ -93,13 +93,6 @@
     pub list_max_age: Nanos,
 }
 
-/// Cost of kinds of traffic, as a fraction of the service if all traffic were of that kind.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct TrafficCosts {
-    /// Attempts that cross zones.
-    pub cross_zone: f64,
-}
-
 /// Settings of one balancer: its place in the fleet and the settings of its site.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -107,8 +100,6 @@
     pub balancers: u32,
     /// Index of this balancer in the fleet, from 0.
     pub rank: u32,
-    /// Zone of this balancer.
-    pub zone: ZoneId,
     /// The request classes.
     pub classes: Vec<RequestClass>,
     /// How the server list arrives.
@@ -119,8 +110,6 @@
     pub limits: Limits,
     /// Rules on servers.
     pub rules: ServerRules,
-    /// Costs of traffic.
-    pub costs: TrafficCosts,
 }
 
 /// A setting is outside its range.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -26,8 +26,7 @@
 use std::time::Duration;
 
 use beaconflow_policy::{
-    DiscoveryMode, Limits, Nanos, RequestClass, RetrySafety, ServerRules, Settings, TrafficCosts,
-    ZoneId,
+    DiscoveryMode, Limits, Nanos, RequestClass, RetrySafety, ServerRules, Settings, ZoneId,
 };
 
 pub use active::ActiveSettings;
@@ -47,7 +46,6 @@
     has_live_weights: bool,
     limits: Limits,
     rules: ServerRules,
-    costs: TrafficCosts,
 }
 
 /// A request class with its name.
@@ -178,7 +176,6 @@
             ("shares".into(), self.tenants != other.tenants),
             ("policy-limits".into(), self.limits != other.limits),
             ("rules".into(), self.rules != other.rules),
-            ("prices".into(), self.costs != other.costs),
             (
                 "weight-kind".into(),
                 self.has_live_weights != other.has_live_weights,
@@ -208,13 +205,11 @@
         Settings {
             balancers: self.balancers.unwrap_or(1),
             rank: self.rank,
-            zone: self.zone,
             classes: self.classes.iter().map(NamedClass::class).collect(),
             has_live_weights: self.has_live_weights,
             discovery: self.discovery,
             limits: self.limits.clone(),
             rules: self.rules.clone(),
-            costs: self.costs.clone(),
         }
     }
 }
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 
 use beaconflow_policy::{
-    DedupScope, DiscoveryMode, Limits, Nanos, RetrySafety, ServerRules, TrafficCosts, ZoneId,
+    DedupScope, DiscoveryMode, Limits, Nanos, RetrySafety, ServerRules, ZoneId,
 };
 use serde::{Deserialize, Deserializer, de};
 use serde_json::Value;
@@ -56,15 +56,6 @@
     let (discovery, has_live_weights) = (discovery(fields), has_live_weights(fields));
     let limits = fields.required_object("policy-limits", limits);
     let rules = fields.required_object("rules", rules);
-    let cross_zone_cost = fields.object("prices", |prices| {
-        let cost = prices.optional_or_default("cross-zone");
-        prices.error_if(
-            "cross-zone",
-            cost.is_some_and(|cost: f64| cost < 0.0),
-            "must not be below 0",
-        );
-        cost
-    });
     Some(SiteSettings {
         balancers: balancers?,
         rank: rank?,
@@ -76,9 +67,6 @@
         has_live_weights: has_live_weights?,
         limits: limits?,
         rules: rules?,
-        costs: TrafficCosts {
-            cross_zone: cross_zone_cost?,
-        },
     })
 }
 
