Turns in the admission queue follow the time that callers have, not worth over aim

Callers saw: of two clients of one account that came at the same time, the one whose class the operators value more, or want answered sooner, was let in up to ten times as often, however long each of them would wait. The fix: the weight is one over the class's deadline (hard-limit-ns, 'total client wait'), so that classes of equal demand wait for the same part of their clients' time. Shares of accounts and the queues of clients are as they were.

--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -48,9 +48,10 @@
 }
 
 impl RequestClass {
-    /// The weight of the class in the admission queue: priority per second of latency objective.
+    /// The weight of the class in the admission queue. Classes of equal demand then wait for the
+    /// same fraction of the time that their clients have.
     pub fn queue_weight(&self) -> f64 {
-        self.priority_weight / seconds(self.latency_objective)
+        1.0 / seconds(self.deadline)
     }
 }
 
--- a/crates/policy/tests/settings.rs
+++ b/crates/policy/tests/settings.rs
@@ -592,3 +592,21 @@
     }
     assert!(longest <= 5 * SECOND, "longest wait of {longest}");
 }
+
+/// A class whose clients wait a third as long has three turns to one. What the operators count for a
+/// request, or call on time, does not move anybody forward.
+#[test]
+fn queue_weight_follows_the_deadline_alone() {
+    let with_deadline = |deadline| RequestClass {
+        deadline,
+        ..settings().classes[0].clone()
+    };
+    let (long, short) = (with_deadline(3 * SECOND), with_deadline(SECOND));
+    assert_eq!(short.queue_weight(), 3.0 * long.queue_weight());
+    let valued = RequestClass {
+        latency_objective: 7 * MS,
+        priority_weight: 50.0,
+        ..long.clone()
+    };
+    assert_eq!(valued.queue_weight(), long.queue_weight());
+}
