A class's worth no longer decides who is refused near a server's ceiling

Callers saw: near the ceiling of a strained server a request of a class that the operators value less was refused, though its load fitted; the room asked of it was up to 3.2 times as large (root of the ratio of worths, ten at most). Cause: required_load() scaled a request's load by the greatest priority weight (lanes[].value) over its own. The fix: the room follows from the work that the request brings.

--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -24,8 +24,6 @@
 /// Part of a connection's load that must fit under a load ceiling. With half of it, a ceiling of a
 /// few connections is filled on average.
 const FIT_FRACTION: f64 = 0.5;
-/// Greatest ratio between the priority weights of two classes that is acted upon.
-const MAX_PRIORITY_RATIO: f64 = 10.0;
 /// A load report is valid for this long, in nanoseconds.
 const LOAD_REPORT_VALIDITY: Nanos = 500_000_000;
 /// Most servers that are probed for one request before it backs off.
@@ -256,18 +254,9 @@
         is_open && (load <= 0.0 || load + required_load <= server.load_ceiling)
     }
 
-    /// The room that a request needs under a ceiling: part of its load, more for classes of low
-    /// priority, so that these are rejected first.
+    /// Load that must fit under a load ceiling for a request to be placed.
     fn required_load(&self, request: &RequestState) -> f64 {
-        let weights = self
-            .settings
-            .classes
-            .iter()
-            .map(|class| class.priority_weight);
-        let greatest = weights.fold(f64::MIN_POSITIVE, f64::max);
-        let own = self.settings.class(request.connect.class).priority_weight;
-        let ratio = greatest / own.max(greatest / MAX_PRIORITY_RATIO);
-        FIT_FRACTION * self.load_of(request) * ratio.sqrt()
+        FIT_FRACTION * self.load_of(request)
     }
 
     /// Whether a server takes a placement now. One in slow start does so with the probability that
