After an outage clients come back by the time they have, not by worth over aim

Callers saw: in a staged refill the clients of the class that the operators value most for each second of aim came first; all others were told to come again until these were served. Cause: rank() of the admission order compared queue_weight() = value / on-time-ns. The fix: the recovery knows a class's deadline alone; the shortest comes first. The fleet simulation's own weights of clients, by which its time until 99% is counted, stand in the test now.

--- a/crates/balancer/src/fleet/recovery_driver.rs
+++ b/crates/balancer/src/fleet/recovery_driver.rs
@@ -49,8 +49,7 @@
     settings: &Settings,
 ) -> RecoveryConfig {
     let class = |class: &beaconflow_policy::RequestClass| RequestClass {
-        priority_weight: class.priority_weight,
-        latency_objective: class.latency_objective,
+        deadline: class.deadline,
     };
     let rules = &settings.rules;
     let defaults = SlowStartRules::default();
@@ -230,3 +229,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/recovery/src/admission_order.rs
+++ b/crates/recovery/src/admission_order.rs
@@ -13,15 +13,15 @@
 /// The admission order. Positions count the clients of the whole fleet, from 0.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct AdmissionOrder {
-    bands: BTreeMap<usize, PriorityBand>,
+    bands: BTreeMap<usize, Band>,
     total: f64,
     /// Fraction of an account's positions over which the clients of a group are spread.
     group_spread: f64,
 }
 
-/// The clients of all classes with one priority.
+/// The clients of all classes with one deadline.
 #[derive(Clone, Debug, Default)]
-struct PriorityBand {
+struct Band {
     start: f64,
     clients: f64,
     /// By account: its clients, and the number of rounds until all of them are admitted. In each
@@ -86,7 +86,7 @@
         previous_clients: &[PreviousClients],
         total: f64,
     ) -> AdmissionOrder {
-        let mut bands: BTreeMap<usize, PriorityBand> = BTreeMap::new();
+        let mut bands: BTreeMap<usize, Band> = BTreeMap::new();
         for one in previous_clients
             .iter()
             .filter(|one| one.clients.is_finite() && one.clients > 0.0)
@@ -96,9 +96,9 @@
             band.accounts.entry(one.account).or_insert((0.0, 0.0)).0 += one.clients;
         }
         if bands.is_empty() {
-            let one = PriorityBand {
+            let one = Band {
                 clients: total,
-                ..PriorityBand::default()
+                ..Band::default()
             };
             return AdmissionOrder {
                 bands: BTreeMap::from([(0, one)]),
@@ -138,10 +138,10 @@
         let quantile = request.group.map_or(client_hash, |group| {
             (uniform_hash(group) + self.group_spread * client_hash).fract()
         });
-        let priority_rank = rank(config, request.class);
-        // A priority without a band comes after the last band of higher priority.
-        match self.bands.range(..=priority_rank).next_back() {
-            Some((at, band)) if *at == priority_rank || self.bands.len() == 1 => {
+        let own_rank = rank(config, request.class);
+        // A rank without a band comes after the last band of a lower rank.
+        match self.bands.range(..=own_rank).next_back() {
+            Some((at, band)) if *at == own_rank || self.bands.len() == 1 => {
                 band.position(request.account, quantile)
             }
             Some((_, band)) => band.start + band.clients,
@@ -150,7 +150,8 @@
     }
 }
 
-/// The rank of a class by priority, from 0 for the highest; classes of equal priority share one.
+/// The rank of a class by its deadline, from 0 for the shortest: clients that wait least go first.
+/// Classes with equal deadlines share one.
 fn rank(config: &RecoveryConfig, class: usize) -> usize {
     let Some(own) = config.classes.get(class).or(config.classes.last()) else {
         return 0;
@@ -158,7 +159,7 @@
     config
         .classes
         .iter()
-        .filter(|other| other.queue_weight() > own.queue_weight())
+        .filter(|other| other.deadline < own.deadline)
         .count()
 }
 
@@ -170,7 +171,7 @@
         .map_or(1.0, |one| one.share)
 }
 
-impl PriorityBand {
+impl Band {
     fn divide_by_share(&mut self, config: &RecoveryConfig) {
         let mut ends = Vec::new();
         for (account, (clients, rounds)) in &mut self.accounts {
--- a/crates/recovery/src/config.rs
+++ b/crates/recovery/src/config.rs
@@ -98,10 +98,8 @@
 /// A request class.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RequestClass {
-    /// Priority of one request relative to other classes; 0 or more.
-    pub priority_weight: f64,
-    /// Objective for the time to establish a connection; more than 0.
-    pub latency_objective: Nanos,
+    /// Total time that a client waits for a connection; more than 0.
+    pub deadline: Nanos,
 }
 
 /// An account's share of the service.
@@ -177,8 +175,7 @@
             retention: Retention::default(),
             slow_start: SlowStartRules::default(),
             classes: vec![RequestClass {
-                priority_weight: 1.0,
-                latency_objective: SECOND,
+                deadline: 5 * SECOND,
             }],
             accounts: Vec::new(),
             usual_clients: 0,
@@ -187,13 +184,6 @@
     }
 }
 
-impl RequestClass {
-    /// Priority divided by the latency objective in seconds.
-    pub(crate) fn queue_weight(&self) -> f64 {
-        self.priority_weight / (self.latency_objective as f64 / SECOND as f64)
-    }
-}
-
 impl RecoveryConfig {
     /// Returns all fields that are outside their range.
     pub fn errors(&self) -> Vec<ConfigError> {
@@ -227,16 +217,8 @@
             ),
             ("classes", self.classes.is_empty()),
             (
-                "classes.worth",
-                self.classes
-                    .iter()
-                    .any(|class| !class.priority_weight.is_finite() || class.priority_weight < 0.0),
-            ),
-            (
-                "classes.aim",
-                self.classes
-                    .iter()
-                    .any(|class| class.latency_objective == 0),
+                "classes.deadline",
+                self.classes.iter().any(|class| class.deadline == 0),
             ),
             (
                 "accounts.share",
--- a/crates/recovery/tests/fleet_simulation/mod.rs
+++ b/crates/recovery/tests/fleet_simulation/mod.rs
@@ -138,6 +138,8 @@
     out: Vec<Action>,
 }
 
+/// Weights of the clients of each class in the time until 99% are served.
+const CLASS_WEIGHTS: [f64; 2] = [1.0, 4.0];
 const ACCOUNT_SHARES: [f64; 2] = [3.0, 1.0];
 
 fn config(scenario: &Scenario, weight: f64) -> RecoveryConfig {
@@ -159,12 +161,10 @@
         },
         classes: vec![
             RequestClass {
-                priority_weight: 1.0,
-                latency_objective: SECOND,
+                deadline: 6 * SECOND,
             },
             RequestClass {
-                priority_weight: 4.0,
-                latency_objective: SECOND / 2,
+                deadline: 3 * SECOND,
             },
         ],
         accounts: vec![
@@ -546,8 +546,7 @@
     }
 
     fn into_result(mut self) -> SimulationResult {
-        let weight =
-            |client: &ClientState| self.config.classes[client.request.class].priority_weight;
+        let weight = |client: &ClientState| CLASS_WEIGHTS[client.request.class];
         let all: f64 = self.clients.iter().map(weight).sum();
         let mut order: Vec<(Nanos, f64)> = self
             .clients
--- a/crates/recovery/tests/rules.rs
+++ b/crates/recovery/tests/rules.rs
@@ -745,3 +745,61 @@
     // 1.5 s.
     assert!(admitted > 0 && admitted * 4 <= 720, "{admitted}");
 }
+
+/// Without an order of the classes, the clients that wait least would be told to come again for as
+/// long as those that wait most.
+#[test]
+fn class_with_the_shortest_deadline_is_admitted_first() {
+    let retry_after = |deadlines: [Nanos; 2], class: usize| {
+        let previous_clients = (0..2)
+            .map(|class| PreviousClients {
+                class,
+                account: 0,
+                clients: 500.0,
+            })
+            .collect();
+        let memory = Memory {
+            previous_clients,
+            ..memory()
+        };
+        let config = RecoveryConfig {
+            site_peers: 0,
+            classes: deadlines.map(|deadline| RequestClass { deadline }).into(),
+            ..config()
+        };
+        let mut host = TestRecovery::new(config, WALL, Some(memory));
+        host.handle_event(Event::PeerReported(peer_status(
+            "b3",
+            "south",
+            3,
+            9 * SECOND,
+        )));
+        host.handle_event(Event::ListReceived(List {
+            reported_at: Some(WALL),
+            ..list(
+                ListSource::Discovery,
+                1,
+                41,
+                vec![entry("s1", WALL - 9_000, Lifecycle::Ready)],
+            )
+        }));
+        host.advance_until(ServiceMode::Staged);
+        host.handle_event(Event::AdmissionRequested(AdmissionRequest {
+            id: 1,
+            class,
+            account: 0,
+            group: None,
+            client_key: Some(1),
+            is_reconnect: true,
+        }));
+        match host.out.last() {
+            Some(Action::Defer { retry_after, .. }) => *retry_after,
+            Some(Action::Admit { .. }) => 0,
+            other => panic!("the client should be admitted or deferred: {other:?}"),
+        }
+    };
+    let deadlines = [6 * SECOND, 3 * SECOND];
+    assert!(retry_after(deadlines, 1) + 10 * SECOND < retry_after(deadlines, 0));
+    let reversed = [3 * SECOND, 6 * SECOND];
+    assert!(retry_after(reversed, 0) + 10 * SECOND < retry_after(reversed, 1));
+}
--- a/crates/simulator/src/engine/recovery.rs
+++ b/crates/simulator/src/engine/recovery.rs
@@ -76,8 +76,7 @@
     fn recovery_config(&self, balancer: u32) -> RecoveryConfig {
         let (scenario, make) = (self.scenario, &self.scenario.make);
         let class = |class: &crate::scenario::Class| RequestClass {
-            priority_weight: class.worth,
-            latency_objective: nanos(class.aim_ms / 1e3),
+            deadline: nanos(class.deadline_ms / 1e3),
         };
         let share = |(at, account): (usize, &crate::scenario::Account)| AccountShare {
             account: at as u64,
