The wait before a repeat follows the time that the client has

Callers saw: a client with 0.8 s left for its connection waited as long before a repeat as one with 3.2 s, and the wait was a quarter of the time that the operators call on time. The fix: base and cap (open in DESIGN, 'ours') are a 32nd and a quarter of the time from the request to its deadline. Floor, full jitter and the six doublings are as they were.

--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -95,7 +95,7 @@
             Event::SettingsReplaced(settings) => self.on_settings_replaced(now, *settings, actions),
             Event::ConnectRequested(request) => self.on_connect_requested(now, request, actions),
             Event::ConnectionAdopted { request, server } => {
-                self.on_connection_adopted(request, server)
+                self.on_connection_adopted(now, request, server)
             }
             Event::AttemptEstablished { request, attempt } => {
                 self.on_attempt_established(now, request, attempt);
@@ -241,17 +241,17 @@
             self.slow_start.count_new_client(now);
         }
         self.groups.count_request(connect.group);
-        self.requests.insert(connect);
+        self.requests.insert(now, connect);
         self.place(now, id, actions);
     }
 
-    fn on_connection_adopted(&mut self, connect: ConnectRequest, server: ServerId) {
+    fn on_connection_adopted(&mut self, now: Nanos, connect: ConnectRequest, server: ServerId) {
         if !self.settings.has_class(connect.class) {
             return;
         }
         let id = connect.request;
         self.groups.count_request(connect.group);
-        self.requests.insert(connect);
+        self.requests.insert(now, connect);
         self.requests.adopt(id, server);
         self.add_connection(id, server);
     }
--- a/crates/policy/src/request_table.rs
+++ b/crates/policy/src/request_table.rs
@@ -27,6 +27,7 @@
 /// State of one request.
 pub(crate) struct RequestState {
     pub(crate) connect: ConnectRequest,
+    received_at: Nanos,
     pub(crate) phase: RequestPhase,
     pub(crate) attempts: u32,
     /// When the latest attempt was sent.
@@ -61,9 +62,10 @@
 }
 
 impl RequestState {
-    fn new(connect: ConnectRequest) -> RequestState {
+    fn new(now: Nanos, connect: ConnectRequest) -> RequestState {
         RequestState {
             connect,
+            received_at: now,
             phase: RequestPhase::Waiting,
             attempts: 0,
             sent_at: 0,
@@ -76,6 +78,11 @@
         }
     }
 
+    /// The time that its client waits for a connection, from the request to the deadline.
+    pub(crate) fn client_time(&self) -> Nanos {
+        self.connect.deadline_at.saturating_sub(self.received_at)
+    }
+
     /// Whether its client was neither pinned nor migrated or disconnected before.
     pub(crate) fn is_free_to_migrate(&self) -> bool {
         self.connect.pin.is_none() && !self.connect.is_reconnect
@@ -120,9 +127,9 @@
         matching.map(|(id, _)| id).collect()
     }
 
-    pub(crate) fn insert(&mut self, connect: ConnectRequest) {
+    pub(crate) fn insert(&mut self, now: Nanos, connect: ConnectRequest) {
         self.requests
-            .insert(connect.request, RequestState::new(connect));
+            .insert(connect.request, RequestState::new(now, connect));
     }
 
     /// Removes a request whose load has been released.
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -11,10 +11,10 @@
 use crate::settings::RetrySafety;
 use crate::time::{Nanos, fraction_of};
 
-/// First backoff, as a fraction of the latency objective of the class.
-const BASE_FRACTION: f64 = 0.25;
-/// Longest backoff, as a fraction of the deadline of the class.
-const CAP_FRACTION: f64 = 0.25;
+/// First backoff, as a divisor of the time that the client waits.
+const BASE_DIVISOR: Nanos = 32;
+/// Longest backoff, as a divisor of the time that the client waits.
+const CAP_DIVISOR: Nanos = 4;
 /// Shortest backoff, as a fraction of the first.
 const FLOOR_FRACTION: f64 = 0.05;
 /// Doublings after which a backoff or timeout stops growing.
@@ -67,10 +67,9 @@
         let Some(request) = self.requests.get(id) else {
             return;
         };
-        let class = self.settings.class(request.connect.class);
         let allowed_until = self.retry_allowed_until(request);
-        let base = fraction_of(class.latency_objective, BASE_FRACTION);
-        let cap = fraction_of(class.deadline, CAP_FRACTION);
+        let client_time = request.client_time();
+        let (base, cap) = (client_time / BASE_DIVISOR, client_time / CAP_DIVISOR);
         let wait = self.jittered_backoff(self.failures_of(request), base, cap);
         if now.saturating_add(wait) >= allowed_until {
             return self.give_up(id, actions);
