An attempt's timeout follows the time that the client has

Callers saw: an attempt at a silent server was given up after the class's on-time-ns. A client with 0.8 s lost half of its time to it, one with 3.2 s an eighth. Cause: attempt_timeout() took the wanted time as the usual timeout. The fix: a first attempt gets an eighth of the client's time and each repeat twice as long, so that three fill seven eighths. Twice the connect timeout and slow set-ups lately still raise it (work left), and the last attempt gets all that is left.

--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -21,7 +21,7 @@
 const MAX_DOUBLINGS: u32 = 6;
 
 impl Balancer {
-    /// The timeout of the next attempt. One that can be repeated gets less than the remaining time,
+    /// The timeout of the next attempt. One that can be repeated gets a part of its client's time,
     /// so that an unresponsive server costs only one attempt. Each retry gets twice as long.
     pub(crate) fn attempt_timeout(&self, now: Nanos, request: &RequestState) -> Nanos {
         let class = self.settings.class(request.connect.class);
@@ -31,8 +31,7 @@
         if is_last_attempt || class.retry_safety != RetrySafety::Idempotent {
             return remaining;
         }
-        let usual = class
-            .latency_objective
+        let usual = first_attempt_share(request.client_time())
             .max(limits.connect_timeout.saturating_mul(2));
         let doublings = request.attempts.min(MAX_DOUBLINGS);
         remaining.min(
--- a/crates/policy/tests/client_time.rs
+++ b/crates/policy/tests/client_time.rs
@@ -85,3 +85,18 @@
     let waits = [SHORT, LONG].map(|time| retry_after(time).expect("the request is rejected"));
     assert_four_times(waits[0], waits[1]);
 }
+
+#[test]
+fn attempt_timeout_follows_the_time_of_the_client() {
+    let timeout = |client_time| {
+        let mut settings = settings();
+        settings.limits.connect_timeout = 10 * MS;
+        let (_, actions) = balancer_with_request(settings, client_time);
+        actions.into_iter().find_map(|action| match action {
+            Action::StartAttempt { timeout, .. } => Some(timeout),
+            _ => None,
+        })
+    };
+    let timeouts = [SHORT, LONG].map(|time| timeout(time).expect("an attempt starts"));
+    assert_eq!(timeouts, [SHORT / 8, LONG / 8]);
+}
