The limit on attempts in flight grows by the time that clients have

Callers saw: set-ups of 80 ms raised a balancer's limit alike for clients that wait 0.8 s and 3.2 s; where clients have little time the limit, and with it the queue at the servers, grew although each set-up used up much of it. Cause: on_success() called a set-up fast by half of on-time-ns. Evidence: concurrency_limit_grows_by_the_time_of_the_clients failed before (17 attempts at once for both). The fix: fast is half of the part of the client's time that a first attempt may take.

--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -23,9 +23,8 @@
         let Some(request) = self.requests.get(id) else {
             return;
         };
-        let objective = self.settings.class(request.connect.class).latency_objective;
         let elapsed = now.saturating_sub(request.sent_at);
-        self.concurrency.on_success(elapsed, objective);
+        self.concurrency.on_success(elapsed, request.client_time());
         self.setup_latency.on_success(now, elapsed);
     }
 
--- a/crates/policy/src/concurrency_limit.rs
+++ b/crates/policy/src/concurrency_limit.rs
@@ -3,6 +3,7 @@
 //! Without it, retries and reconnects would keep a backend that all servers share overloaded.
 
 use crate::fleet_quota::FleetQuota;
+use crate::settings::first_attempt_share;
 use crate::time::{Nanos, fraction_of, is_within};
 
 /// Initial, least and greatest limit of a balancer in a small fleet.
@@ -11,7 +12,8 @@
 const MAX_LIMIT: f64 = 48.0;
 /// The quota of a limit is at least one attempt.
 const MIN_QUOTA: f64 = 1.0;
-/// The limit grows on attempts faster than this fraction of their latency objective.
+/// The limit grows on attempts that took less than this fraction of their share of the client's
+/// time.
 const FAST_FRACTION: f64 = 0.5;
 /// Factor of a decrease.
 const DECREASE_FACTOR: f64 = 0.6;
@@ -51,8 +53,8 @@
     }
 
     /// An attempt succeeded. A slow one waited for a shared resource and does not raise the limit.
-    pub(crate) fn on_success(&mut self, elapsed: Nanos, latency_objective: Nanos) {
-        if elapsed < fraction_of(latency_objective, FAST_FRACTION) {
+    pub(crate) fn on_success(&mut self, elapsed: Nanos, client_time: Nanos) {
+        if elapsed < fraction_of(first_attempt_share(client_time), FAST_FRACTION) {
             self.limit = (self.limit + 1.0 / self.limit).min(self.max);
         }
     }
--- a/crates/policy/tests/client_time.rs
+++ b/crates/policy/tests/client_time.rs
@@ -100,3 +100,28 @@
     let timeouts = [SHORT, LONG].map(|time| timeout(time).expect("an attempt starts"));
     assert_eq!(timeouts, [SHORT / 8, LONG / 8]);
 }
+
+/// A set-up that is quick for a patient client took too much of the time of another.
+#[test]
+fn concurrency_limit_grows_by_the_time_of_the_clients() {
+    let attempts_after_setups = |client_time: Nanos| {
+        let mut balancer = TestBalancer::with_servers(settings(), 4);
+        for id in 0..60 {
+            let request = ConnectRequest {
+                deadline_at: balancer.now + client_time,
+                ..connect_request(id, IDEMPOTENT, balancer.now)
+            };
+            balancer.handle(Event::ConnectRequested(request));
+            balancer.advance(SHORT / 10);
+            balancer.establish(id, 0);
+        }
+        (100..200)
+            .filter(|id| !attempted_servers(&balancer.request(*id, IDEMPOTENT)).is_empty())
+            .count()
+    };
+    let (impatient, patient) = (attempts_after_setups(SHORT), attempts_after_setups(LONG));
+    assert!(
+        impatient < patient,
+        "{impatient} and {patient} attempts at once"
+    );
+}
