The default connect timeout follows the shortest deadline, not a wanted time

Callers saw: where policy-limits give no connect timeout, a connect was given up after the lowest on-time-ns of all classes, whatever time the clients have. Cause: SiteSettings::connect_timeout() fell back to the wanted time. Evidence: updates_shared_timeouts_after_replacement, with the default that follows from its 1.8 s, failed before (300 ms). The fix: the default is what the least patient clients have for a first attempt, an eighth of the shortest deadline.

--- a/crates/balancer/src/core/settings/tests.rs
+++ b/crates/balancer/src/core/settings/tests.rs
@@ -427,8 +427,8 @@
     );
     assert_eq!(
         core.timeouts.connect_timeout(),
-        Duration::from_millis(300),
-        "the default is the shortest latency objective of a class"
+        Duration::from_millis(225),
+        "the default is an eighth of the shortest deadline of a class"
     );
 }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -27,6 +27,7 @@
 
 use beaconflow_policy::{
     DiscoveryMode, Limits, Nanos, RequestClass, RetrySafety, ServerRules, Settings, ZoneId,
+    first_attempt_share,
 };
 
 pub use active::ActiveSettings;
@@ -120,20 +121,14 @@
         self.limits.can_probe
     }
 
-    /// Timeout of a connect: as configured, or else the lowest latency objective of all classes.
+    /// Timeout of a connect: as configured, or else what the least patient clients have for a first
+    /// attempt.
     pub fn connect_timeout(&self) -> Nanos {
-        let lowest_objective = || {
-            self.classes
-                .iter()
-                .map(|class| class.latency_objective)
-                .min()
-                .unwrap_or(Nanos::MAX)
-        };
         if self.limits.connect_timeout > 0 {
-            self.limits.connect_timeout
-        } else {
-            lowest_objective()
+            return self.limits.connect_timeout;
         }
+        let shortest_deadline = self.classes.iter().map(|class| class.deadline).min();
+        shortest_deadline.map_or(Nanos::MAX, first_attempt_share)
     }
 
     /// Timeout of a probe, which includes a connect.
