The worth and the wanted time of a class are no longer read

Callers saw: a file that changed only lanes[].value or lanes[].on-time-ns gave its class a new number at SIGHUP and the routing a new version, by which session affinity judges placements; without either key the program did not start. Cause: both stood in the types of the settings, the policy and the affinity's digest after the last decision had left them. The deadline is the figure of a class that a version's digest still holds. The fix: the fields are gone from settings, policy and affinity.

--- a/crates/adapter/tests/unused_settings.rs
+++ b/crates/adapter/tests/unused_settings.rs
@@ -69,3 +69,31 @@
         assert_eq!(run_adapter(changed), plain, "with the prices {other}");
     }
 }
+
+/// What the operators count for a request, and the time after which they count less, decide nothing.
+#[test]
+fn worth_and_wanted_time_do_not_affect_decisions() {
+    let (transcript, plain) = (PLAIN.transcript(), PLAIN.decisions());
+    for (key, present, others) in [
+        ("value", ["1.0", "5.0", "2.0"], ["0.0", "100.0", "-1.0"]),
+        (
+            "on-time-ns",
+            ["300000000", "500000000", "400000000"],
+            ["1", "900000000000", "null"],
+        ),
+    ] {
+        for other in others {
+            let changed = present.iter().fold(transcript.clone(), |text, value| {
+                let part = format!("\"{key}\":{value}");
+                assert!(text.contains(&part), "the settings contain {part}");
+                text.replace(&part, &format!("\"{key}\":{other}"))
+            });
+            assert_eq!(run_adapter(changed), plain, "with {other} as {key}");
+        }
+    }
+    let bare = ["\"value\":1.0", "\"value\":5.0", "\"value\":2.0"];
+    let without = bare
+        .iter()
+        .fold(transcript, |text, part| text.replace(part, "\"novel\":1"));
+    assert_eq!(run_adapter(without), plain, "without a worth");
+}
--- a/crates/affinity/src/changes.rs
+++ b/crates/affinity/src/changes.rs
@@ -94,19 +94,12 @@
         .collect()
 }
 
-/// The latency objective, deadline and bits of the priority weight of each class, by name.
-fn classes(routing: &Routing) -> BTreeMap<String, (u64, u64, u64)> {
-    let objectives = |class: &crate::Class| {
-        (
-            class.latency_objective_ms,
-            class.deadline_ms,
-            class.priority_weight.to_bits(),
-        )
-    };
+/// The deadline of each class, by name.
+fn classes(routing: &Routing) -> BTreeMap<String, u64> {
     routing
         .classes
         .iter()
-        .map(|class| (class.name.clone(), objectives(class)))
+        .map(|class| (class.name.clone(), class.deadline_ms))
         .collect()
 }
 
--- a/crates/affinity/src/routing.rs
+++ b/crates/affinity/src/routing.rs
@@ -28,12 +28,8 @@
 pub struct Class {
     /// The name, unique among classes.
     pub name: String,
-    /// Objective for the time to an established connection, in milliseconds.
-    pub latency_objective_ms: u64,
     /// Total time that a client waits for a connection, in milliseconds.
     pub deadline_ms: u64,
-    /// The priority weight of one request, at least 0.
-    pub priority_weight: f64,
 }
 
 /// The routing part of a configuration.
@@ -54,7 +50,7 @@
 pub enum RoutingError {
     /// Two servers, tenants or classes have this name.
     DuplicateName(String),
-    /// The weight of this server or the priority weight of this class is negative or not finite.
+    /// The weight of this server is negative or not finite.
     InvalidNumber(String),
     /// Two servers declare this previous name.
     DuplicatePreviousName(String),
@@ -71,7 +67,7 @@
             RoutingError::InvalidNumber(name) => {
                 write!(
                     f,
-                    "{name:?}: the weight or priority weight must be a finite number of at least 0"
+                    "{name:?}: the weight must be a finite number of at least 0"
                 )
             }
             RoutingError::DuplicatePreviousName(name) => {
@@ -114,14 +110,7 @@
         };
         hasher.section("tenants", self.tenants.iter().map(tenant));
         let u64_bytes = |value: u64| value.to_be_bytes().to_vec();
-        let class = |class: &Class| {
-            vec![
-                text_bytes(&class.name),
-                u64_bytes(class.latency_objective_ms),
-                u64_bytes(class.deadline_ms),
-                f64_bytes(class.priority_weight),
-            ]
-        };
+        let class = |class: &Class| vec![text_bytes(&class.name), u64_bytes(class.deadline_ms)];
         hasher.section("classes", self.classes.iter().map(class));
         hasher.version()
     }
@@ -151,12 +140,7 @@
             .servers
             .iter()
             .map(|server| (&server.name, server.weight));
-        let values = weights.chain(
-            self.classes
-                .iter()
-                .map(|class| (&class.name, class.priority_weight)),
-        );
-        let invalid = values.filter(|(_, value)| !value.is_finite() || *value < 0.0);
+        let invalid = weights.filter(|(_, weight)| !weight.is_finite() || *weight < 0.0);
         errors.extend(invalid.map(|(name, _)| RoutingError::InvalidNumber(name.clone())));
         errors.extend(
             duplicate_previous_names(previous_names()).map(RoutingError::DuplicatePreviousName),
--- a/crates/balancer/src/fleet/setup.rs
+++ b/crates/balancer/src/fleet/setup.rs
@@ -157,9 +157,7 @@
 pub(super) fn routing_version(settings: &Settings, endpoints: Option<&EndpointSource>) -> Version {
     let class = |(index, class): (usize, &beaconflow_policy::RequestClass)| Class {
         name: index.to_string(),
-        latency_objective_ms: class.latency_objective / 1_000_000,
         deadline_ms: class.deadline / 1_000_000,
-        priority_weight: class.priority_weight,
     };
     let server = |server: &operator::FixedServer| Server {
         name: server.name.clone(),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,11 +11,9 @@
 //!     balancers: 4,
 //!     rank: 0,
 //!     classes: vec![RequestClass {
-//!         latency_objective: 300_000_000,
 //!         deadline: 1_800_000_000,
 //!         retry_safety: RetrySafety::Idempotent,
 //!         message_latency_objective: 150_000_000,
-//!         priority_weight: 1.0,
 //!     }],
 //!     discovery: DiscoveryMode::Pushed,
 //!     has_live_weights: false,
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -32,19 +32,15 @@
     NonIdempotent,
 }
 
-/// A class of requests and its service objectives.
+/// A class of requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RequestClass {
-    /// Objective for the time to an established connection or an answer.
-    pub latency_objective: Nanos,
     /// Total time that a client waits, over all attempts.
     pub deadline: Nanos,
     /// Whether requests may be retried after a possible execution.
     pub retry_safety: RetrySafety,
     /// Objective for a message on an established connection; 0 if there is none.
     pub message_latency_objective: Nanos,
-    /// Relative value of one request.
-    pub priority_weight: f64,
 }
 
 /// The first attempt gets the client's time divided by this. Three attempts, each twice as long as
@@ -144,21 +140,10 @@
     pub fn errors(&self) -> Vec<SettingsError> {
         let rules = &self.rules;
         let capacity_range = 0.0..=1.0;
-        let is_invalid_weight = |weight: f64| weight.is_nan() || weight < 0.0;
         let has_class = |is_invalid: fn(&RequestClass) -> bool| self.classes.iter().any(is_invalid);
         let checks = [
             ("classes", self.classes.is_empty()),
-            (
-                "classes.latency_objective",
-                has_class(|class| class.latency_objective == 0),
-            ),
             ("classes.deadline", has_class(|class| class.deadline == 0)),
-            (
-                "classes.priority_weight",
-                self.classes
-                    .iter()
-                    .any(|class| is_invalid_weight(class.priority_weight)),
-            ),
             ("balancers", self.balancers == 0),
             ("limits.max_attempts", self.limits.max_attempts == 0),
             (
--- a/crates/settings/src/active.rs
+++ b/crates/settings/src/active.rs
@@ -110,16 +110,12 @@
             .map(|class| class.deadline)
             .max()
             .unwrap_or(own.deadline);
-        let greatest_weight = present()
-            .map(|class| class.priority_weight)
-            .fold(0.0, f64::max);
         let present_class = present().find(|class| class.name == name);
         RequestClass {
             retry_safety: present_class.map_or(own.retry_safety, |class| {
                 stricter(own.retry_safety, class.retry_safety)
             }),
             deadline: own.deadline.min(longest_deadline),
-            priority_weight: own.priority_weight.min(greatest_weight),
             message_latency_objective: 0,
             ..own
         }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -53,11 +53,9 @@
 #[derive(Clone, Debug, PartialEq)]
 struct NamedClass {
     name: String,
-    latency_objective: Nanos,
     deadline: Nanos,
     retry_safety: RetrySafety,
     message_latency_objective: Nanos,
-    priority_weight: f64,
 }
 
 /// A tenant and its share of the service.
@@ -70,11 +68,9 @@
 impl NamedClass {
     fn class(&self) -> RequestClass {
         RequestClass {
-            latency_objective: self.latency_objective,
             deadline: self.deadline,
             retry_safety: self.retry_safety,
             message_latency_objective: self.message_latency_objective,
-            priority_weight: self.priority_weight,
         }
     }
 }
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -94,23 +94,18 @@
 }
 
 fn named_class(fields: Fields<'_>) -> Option<NamedClass> {
-    const POSITIVE: &str = "must be more than 0";
     let name = fields.optional_or_default("name");
-    let latency_objective = fields.required_if("on-time-ns", |objective| *objective > 0, POSITIVE);
-    let deadline = fields.required_if("hard-limit-ns", |deadline| *deadline > 0, POSITIVE);
-    let priority_weight = fields.required_if(
-        "value",
-        |weight: &f64| *weight >= 0.0,
-        "must not be below 0",
+    let deadline = fields.required_if(
+        "hard-limit-ns",
+        |deadline| *deadline > 0,
+        "must be more than 0",
     );
     let retry_safety = retry_safety(fields);
     Some(NamedClass {
         name: name?,
-        latency_objective: latency_objective?,
         deadline: deadline?,
         retry_safety: retry_safety?,
         message_latency_objective: 0,
-        priority_weight: priority_weight?,
     })
 }
 
