Clients that return wait like clients that come for the first time

Callers saw: a client that said again=1, or had been moved by this balancer within 30 s, had a lane of its own with up to half of its account's turns and was refused last; one that came for the first time waited behind it. Cause: the admission queue's entries carried is_returning, set from the mark and from a table of moved clients. The protocol marks such clients and promises them no place before others. Evidence: client_that_returns_waits_like_any_other failed before (with the mark k33 was among the first two admitted, without it k17 and k25 were). It takes the place of admits_returning_client_ahead_of_flood; newcomer_waits_behind_its_own_account_only that of admits_returning_client_early_and_evicts_it_last (the bound on other accounts is kept); keeps_latency_of_repeats_of_a_quiet_account_under_flood that of keeps_returning_client_latency_under_flood, with the same 1.05. matches_each_rejection_once_within_window tested the table that is gone. The fix: entries, engine and queue have no such mark, and the table is removed.

--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -179,7 +179,7 @@
         let result = catch_unwind(AssertUnwindSafe(|| match event {
             Event::ConnectRequested(connect) => instance
                 .engine
-                .on_connect_requested(now, connect, account, false, actions),
+                .on_connect_requested(now, connect, account, actions),
             event => instance.engine.handle(now, event, actions),
         }));
         if let Err(panic) = result {
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -12,7 +12,7 @@
 //! let mut evicted = Vec::new();
 //! for id in 0..8 {
 //!     let (account, share) = if id % 2 == 0 { (10, 3.0) } else { (20, 1.0) };
-//!     let entry = Entry { id, account, share, class: 0, flow: id, deadline: 1_000, is_returning: false, bytes: 1 };
+//!     let entry = Entry { id, account, share, class: 0, flow: id, deadline: 1_000, bytes: 1 };
 //!     queue.enqueue(entry, &mut evicted);
 //! }
 //! assert!(evicted.is_empty());
@@ -25,13 +25,11 @@
 
 mod fair_scheduler;
 mod queue;
-mod rejected_clients;
 mod shortest_setup;
 mod slab;
 mod statistics;
 
 pub use queue::{AdmissionQueue, Entry, Limits, QueueSize};
-pub use rejected_clients::RejectedClients;
 pub use shortest_setup::ShortestSetup;
 pub use statistics::{AccountStatistics, AccountTable, Counts, NotAdmitted, ShareExcess};
 
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -91,9 +91,6 @@
     pub flow: u64,
     /// Time at which the entry expires.
     pub deadline: Nanos,
-    /// Whether the client was rejected before. Such an entry is admitted ahead of others of its
-    /// account and evicted last.
-    pub is_returning: bool,
     /// Bytes of memory that the entry holds, as the caller counts them.
     pub bytes: u32,
 }
@@ -109,9 +106,8 @@
     /// One scheduler per class, over the queues of the class.
     queue_schedulers: Vec<FairScheduler>,
     size: QueueSize,
-    /// Nonempty queues as (is not for returning clients, length, index in the slab). Evictions take
-    /// from the queue that sorts last: the longest one that is not for returning clients, if any.
-    queues_by_length: BTreeSet<(bool, u32, usize)>,
+    /// Nonempty queues as (length, index in the slab). Evictions take from the queue that sorts last.
+    queues_by_length: BTreeSet<(u32, usize)>,
     /// Whether `idle_accounts` contains this account's slot; the account may be active again.
     is_listed_idle: bool,
 }
@@ -119,7 +115,7 @@
 /// A bounded queue that divides permits fairly among accounts, classes and clients.
 pub struct AdmissionQueue {
     limits: Limits,
-    /// Weight of each class within an account; the last one is for returning clients.
+    /// Weight of each class within an account.
     class_weights: Vec<f64>,
     seed: u64,
     account_scheduler: FairScheduler,
@@ -144,8 +140,6 @@
         if class_weights.is_empty() {
             class_weights.push(1.0);
         }
-        // Returning clients get up to half of their account's permits.
-        class_weights.push(class_weights.iter().sum());
         let queues_per_class = limits.queues_per_class.max(1);
         let limits = Limits {
             queues_per_class,
@@ -207,7 +201,7 @@
         if self.index_by_id.contains_key(&entry.id) {
             return;
         }
-        entry.class = entry.class.min(self.class_weights.len() - 2);
+        entry.class = entry.class.min(self.class_weights.len() - 1);
         entry.share = valid_weight(entry.share);
         let slot = self.slot_for(&entry);
         let queue = self.queue_for(slot, &entry);
@@ -218,12 +212,8 @@
         let account = &mut self.accounts[slot];
         account.size.add_entry(&entry);
         let length = self.slab.queues[queue].size.entries as u32;
-        account
-            .queues_by_length
-            .remove(&(!entry.is_returning, length - 1, queue));
-        account
-            .queues_by_length
-            .insert((!entry.is_returning, length, queue));
+        account.queues_by_length.remove(&(length - 1, queue));
+        account.queues_by_length.insert((length, queue));
         let class = (queue / self.limits.queues_per_class) % self.class_weights.len();
         account.class_scheduler.activate(class);
         account.queue_schedulers[class].activate(queue % self.limits.queues_per_class);
@@ -333,7 +323,7 @@
             return 1;
         };
         let entry = Entry {
-            class: entry.class.min(self.class_weights.len() - 2),
+            class: entry.class.min(self.class_weights.len() - 1),
             ..*entry
         };
         let own_length = self.slab.queues[self.queue_for(slot, &entry)].size.entries + 1;
@@ -423,23 +413,17 @@
 
     /// The shortest of the queues that the entry may join.
     fn queue_for(&self, slot: usize, entry: &Entry) -> usize {
-        let class = if entry.is_returning {
-            self.class_weights.len() - 1
-        } else {
-            entry.class
-        };
-        let base = (slot * self.class_weights.len() + class) * self.limits.queues_per_class;
+        let base = (slot * self.class_weights.len() + entry.class) * self.limits.queues_per_class;
         let shortest = self
             .candidate_queues(entry.flow)
             .min_by_key(|candidate| self.slab.queues[base + candidate].size.entries);
         base + shortest.unwrap_or(0)
     }
 
-    /// The last entry of the account's longest queue. Queues of returning
-    /// clients are chosen only if no other queue holds entries.
+    /// The last entry of the account's longest queue.
     fn tail_of_longest_queue(&self, slot: usize) -> Option<EntryIndex> {
         self.slab
-            .last(self.accounts[slot].queues_by_length.last()?.2)
+            .last(self.accounts[slot].queues_by_length.last()?.1)
     }
 
     fn remove_at(&mut self, index: EntryIndex) -> Option<Entry> {
@@ -453,13 +437,9 @@
         let account = &mut self.accounts[slot];
         account.size.remove_entry(&entry);
         let length = self.slab.queues[queue].size.entries as u32;
-        account
-            .queues_by_length
-            .remove(&(!entry.is_returning, length + 1, queue));
+        account.queues_by_length.remove(&(length + 1, queue));
         if length > 0 {
-            account
-                .queues_by_length
-                .insert((!entry.is_returning, length, queue));
+            account.queues_by_length.insert((length, queue));
             return Some(entry);
         }
         account.queue_schedulers[class].deactivate(queue % self.limits.queues_per_class);
--- a/crates/balancer/src/core/admission.rs
+++ b/crates/balancer/src/core/admission.rs
@@ -8,7 +8,7 @@
 
 use beaconflow_admission::{
     AccountStatistics, AccountTable, AdmissionQueue, Counts, Entry, Limits, NotAdmitted,
-    RejectedClients, ShareExcess, ShortestSetup,
+    ShareExcess, ShortestSetup,
 };
 use beaconflow_policy::{self as policy, Nanos, RequestClass, RequestId};
 use beaconflow_settings::{ActiveSettings, digest};
@@ -77,7 +77,6 @@
 pub(super) struct AdmissionControl {
     queue: AdmissionQueue,
     accounts: AccountTable,
-    reconnects: RejectedClients,
     /// Shortest setup times by class.
     fastest_setups: Vec<ShortestSetup>,
     config: AdmissionConfig,
@@ -101,7 +100,6 @@
         AdmissionControl {
             queue: AdmissionQueue::new(&queue_weights_of(&settings.classes), config.limits, seed),
             accounts: AccountTable::default(),
-            reconnects: RejectedClients::default(),
             fastest_setups: vec![ShortestSetup::default(); settings.classes.len()],
             config,
             active_settings,
@@ -132,20 +130,15 @@
 
     /// The queue entry of a request.
     pub(super) fn entry(
-        &mut self,
+        &self,
         id: u64,
         client_request: &ClientRequest,
         give_up_at: Nanos,
-        now: Nanos,
     ) -> Entry {
         let client = client_request
             .client_key
             .or(client_request.group)
             .unwrap_or(id);
-        // The expectation is used up even if the client reports the reconnect itself.
-        let is_expected = client_request
-            .client_key
-            .is_some_and(|key| self.reconnects.take_return(now, key));
         let quickest = self
             .fastest_setups
             .get(client_request.class)
@@ -158,7 +151,6 @@
             // A group of ten thousand sites is one flow and fills no more queues than any other.
             flow: client_request.group.unwrap_or(client),
             deadline: give_up_at.saturating_sub(quickest),
-            is_returning: is_expected || client_request.is_reconnect,
             bytes: u32::try_from(size_of::<RequestState>() + client_request.buffered_bytes)
                 .unwrap_or(u32::MAX),
         }
@@ -198,10 +190,6 @@
         }
     }
 
-    pub(super) fn expect_reconnect(&mut self, now: Nanos, client: u64) {
-        self.reconnects.record_rejection(now, client);
-    }
-
     /// Applies changed settings of the queue; the number of queues stays.
     pub(super) fn configure(&mut self, config: AdmissionConfig) {
         self.queue.set_limits(config.limits, &mut self.evicted);
--- a/crates/balancer/src/core/connect.rs
+++ b/crates/balancer/src/core/connect.rs
@@ -37,9 +37,7 @@
         let deadline_at = client_request
             .received_at
             .saturating_add(nanos(client_request.client_timeout));
-        let entry = self
-            .admission
-            .entry(id, &client_request, deadline_at, self.clock.now());
+        let entry = self.admission.entry(id, &client_request, deadline_at);
         if !is_resumed {
             self.admission
                 .count_request(self.clock.now(), &client_request, &entry);
@@ -81,12 +79,9 @@
         server: &str,
         commands: Arc<dyn CommandSender>,
     ) {
-        let entry = self.admission.entry(
-            id,
-            &client_request,
-            client_request.received_at,
-            self.clock.now(),
-        );
+        let entry = self
+            .admission
+            .entry(id, &client_request, client_request.received_at);
         self.requests
             .open(id, client_request, commands, (None, None), entry);
         let Some((server, _)) = self.endpoints.by_name(server) else {
--- a/crates/balancer/src/core/decisions.rs
+++ b/crates/balancer/src/core/decisions.rs
@@ -146,7 +146,7 @@
         }
     }
 
-    /// Asks a client to reconnect, and expects it to come back.
+    /// Asks a client to reconnect.
     pub(super) fn migrate(&mut self, id: u64, reason: &'static str) {
         debug!(
             part = self.name,
@@ -155,13 +155,6 @@
             "client asked to migrate"
         );
         self.requests.send_command(id, ConnectionCommand::Migrate);
-        if let Some(key) = self
-            .requests
-            .get(id)
-            .and_then(|request_state| request_state.request.client_key)
-        {
-            self.admission.expect_reconnect(self.clock.now(), key);
-        }
     }
 
     /// Replaces a policy that panicked. The new one adopts established connections; requests in
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -13,14 +13,12 @@
 
 /// The decisions of one balancer, by this policy or another.
 pub trait BalancerEngine {
-    /// Handles a request of a client. `account` is the index of its account, and `is_returning` says
-    /// that the client had a connection before.
+    /// Handles a request of a client. `account` is the index of its account.
     fn on_connect_requested(
         &mut self,
         now: Nanos,
         connect: ConnectRequest,
         account: usize,
-        is_returning: bool,
         out: &mut Vec<Action>,
     );
     /// Handles any other event and appends the actions that follow.
@@ -78,7 +76,6 @@
         now: Nanos,
         connect: ConnectRequest,
         account: usize,
-        is_returning: bool,
         out: &mut Vec<Action>,
     ) {
         let client = connect.client_key.map_or(connect.request.0, |key| key.0);
@@ -89,7 +86,6 @@
             class: connect.class.0,
             flow: connect.group.map_or(client, |group| group.0),
             deadline: connect.deadline_at,
-            is_returning,
             bytes: 0,
         };
         self.entries.insert(connect.request.0, entry);
