Messages are judged by the class of their connection, not by the strictest class

Callers saw: one class with a short message objective, used by nobody at a server, had all other clients' messages there called slow: four of ten were moved, and the server got nothing new. Evidence: messages_are_judged_by_the_class_of_their_connection failed before (four clients moved at 39 ms; their own objective is 120 ms). The threshold of a class stands in one place; connections report by the shortest, the core and the policy judge by their own.

--- a/crates/balancer/src/core/attempts.rs
+++ b/crates/balancer/src/core/attempts.rs
@@ -127,7 +127,9 @@
             "connection measured"
         );
         if let ConnectionMetric::MessageLatency(delay) = metric {
-            let is_slow = Duration::from_nanos(delay) >= self.timeouts.slow_message_threshold();
+            let class = self.requests.get(id).map(|request| request.request.class);
+            let class = class.and_then(|class| self.settings.classes.get(class));
+            let is_slow = class.is_some_and(|class| delay >= class.slow_message_threshold());
             if !self.endpoints.should_report_latency(
                 server,
                 self.clock.now(),
--- a/crates/balancer/src/core/settings.rs
+++ b/crates/balancer/src/core/settings.rs
@@ -7,15 +7,12 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use beaconflow_policy::{self as policy, Nanos, Settings};
+use beaconflow_policy::{self as policy, Nanos, RequestClass, Settings};
 use beaconflow_settings::ActiveSettings;
 use tracing::info;
 
 use super::Core;
 
-/// A message over this fraction (1/n) of the shortest objective is slow.
-const SLOW_MESSAGE_DIVISOR: Nanos = 3;
-
 /// Timeouts of the settings in effect, for other threads than the core's.
 #[derive(Debug)]
 pub struct SharedTimeouts {
@@ -34,14 +31,11 @@
     }
 
     fn update(&self, settings: &Settings) {
-        let objectives = settings
+        let thresholds = settings
             .classes
             .iter()
-            .map(|class| class.message_latency_objective)
-            .filter(|objective| *objective > 0);
-        let slow_message_threshold = objectives
-            .min()
-            .map_or(Nanos::MAX, |objective| objective / SLOW_MESSAGE_DIVISOR);
+            .map(RequestClass::slow_message_threshold);
+        let slow_message_threshold = thresholds.min().unwrap_or(Nanos::MAX);
         self.connect_timeout_ns
             .store(settings.limits.connect_timeout, Ordering::Relaxed);
         self.slow_message_threshold_ns
@@ -53,7 +47,7 @@
         Duration::from_nanos(self.connect_timeout_ns.load(Ordering::Relaxed))
     }
 
-    /// A message that takes this long is slow.
+    /// A message that takes this long is slow for at least one class.
     pub(super) fn slow_message_threshold(&self) -> Duration {
         Duration::from_nanos(self.slow_message_threshold_ns.load(Ordering::Relaxed))
     }
--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -45,7 +45,10 @@
         match metric {
             ConnectionMetric::Load(load) => self.replace_load(id, current.server, load),
             ConnectionMetric::MessageLatency(latency) => {
-                self.on_message_latency(now, current.server, latency, actions);
+                let Some(class) = self.requests.get(id).map(|request| request.connect.class) else {
+                    return;
+                };
+                self.on_message_latency(now, (class, current.server), latency, actions);
             }
         }
     }
--- a/crates/policy/src/overload.rs
+++ b/crates/policy/src/overload.rs
@@ -4,12 +4,10 @@
 
 use crate::action::{Action, MigrationReason, OverloadSummary};
 use crate::balancer::Balancer;
-use crate::ids::ServerId;
+use crate::ids::{ClassId, ServerId};
 use crate::server::Server;
 use crate::time::{Nanos, fraction_of};
 
-/// A message over this fraction of the shortest objective is a sign of overload.
-const OVERLOAD_LATENCY_FRACTION: f64 = 0.33;
 /// Fractions of its load that an overloaded server is relieved of: for a sign of overload, and for
 /// messages over their objective.
 pub(crate) const MILD_RELIEF: f64 = 0.1;
@@ -40,22 +38,24 @@
 const SUMMARY_MIN_FAILURES: u32 = 2;
 
 impl Balancer {
-    /// Evaluates the latency of a message at a server.
+    /// Evaluates the latency of a message of a class at a server.
     pub(crate) fn on_message_latency(
         &mut self,
         now: Nanos,
-        server: ServerId,
+        (class, server): (ClassId, ServerId),
         latency: Nanos,
         actions: &mut Vec<Action>,
     ) {
-        let objective = self.settings.shortest_message_objective();
-        if latency >= objective {
-            self.servers.record_slow_messages(now, server);
-            self.record_overload(now, server, STRONG_RELIEF);
-            self.migrate_off_slow_server(server, actions);
-        } else if latency >= fraction_of(objective, OVERLOAD_LATENCY_FRACTION) {
-            self.record_overload(now, server, MILD_RELIEF);
+        let class = self.settings.class(class);
+        if latency < class.slow_message_threshold() {
+            return;
+        }
+        if latency < class.message_latency_objective {
+            return self.record_overload(now, server, MILD_RELIEF);
         }
+        self.servers.record_slow_messages(now, server);
+        self.record_overload(now, server, STRONG_RELIEF);
+        self.migrate_off_slow_server(server, actions);
     }
 
     /// Records a sign of overload: the server is paused, and its ceiling is lowered by `relief`.
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -43,6 +43,8 @@
     pub message_latency_objective: Nanos,
 }
 
+/// Messages that take this part (1/n) of their objective show that a server nears its capacity.
+const SLOW_MESSAGE_DIVISOR: Nanos = 3;
 /// The first attempt gets the client's time divided by this. Three attempts, each twice as long as
 /// the one before, then leave an eighth for the waits between them.
 const ATTEMPT_DIVISOR: Nanos = 8;
@@ -58,6 +60,15 @@
     pub fn queue_weight(&self) -> f64 {
         1.0 / seconds(self.deadline)
     }
+
+    /// A message of this class that takes so long is a sign of overload; [`Nanos::MAX`] without an
+    /// objective.
+    pub fn slow_message_threshold(&self) -> Nanos {
+        match self.message_latency_objective {
+            0 => Nanos::MAX,
+            objective => objective / SLOW_MESSAGE_DIVISOR,
+        }
+    }
 }
 
 /// How changes of the server list reach this balancer.
@@ -184,16 +195,4 @@
             .max()
             .unwrap_or(0)
     }
-
-    /// The shortest message latency objective, or [`Nanos::MAX`] if no class has one.
-    pub(crate) fn shortest_message_objective(&self) -> Nanos {
-        let objectives = self
-            .classes
-            .iter()
-            .map(|class| class.message_latency_objective);
-        objectives
-            .filter(|objective| *objective > 0)
-            .min()
-            .unwrap_or(Nanos::MAX)
-    }
 }
--- a/crates/policy/tests/rotation.rs
+++ b/crates/policy/tests/rotation.rs
@@ -99,6 +99,27 @@
     placed
 }
 
+/// A class that nobody at the server uses has no part in what its messages may take.
+#[test]
+fn messages_are_judged_by_the_class_of_their_connection() {
+    for (objective, latency, is_paused) in [(10, 39, false), (10, 80, true), (900, 80, true)] {
+        let mut settings = settings();
+        settings.classes[KEYED_ALL].message_latency_objective = objective * MS;
+        let mut balancer = TestBalancer::with_servers(settings, 1);
+        fill(&mut balancer, 10);
+        let actions = balancer.measure(0, ConnectionMetric::MessageLatency(latency * MS));
+        assert!(actions.is_empty(), "no client is migrated: {actions:?}");
+        balancer.close(1, 0, AttemptOutcome::Served);
+        balancer.close(2, 0, AttemptOutcome::Served);
+        let attempts = attempted_servers(&balancer.request(50, IDEMPOTENT)).len();
+        assert_eq!(
+            attempts == 0,
+            is_paused,
+            "objective {objective} ms of another class, latency {latency} ms"
+        );
+    }
+}
+
 /// One overloaded server is skipped; if all are overloaded, requests are rejected.
 #[test]
 fn overloaded_servers_get_no_new_connections() {
