--- a/crates/balancer/src/core/settings/tests.rs
+++ b/crates/balancer/src/core/settings/tests.rs
@@ -416,7 +416,7 @@
     replace(&mut core, site(&[("chat", "retryable")], change));
     assert_eq!(
         core.timeouts.slow_message_threshold(),
-        Duration::from_millis(30)
+        Duration::from_millis(45)
     );
     assert_eq!(core.timeouts.connect_timeout(), Duration::from_millis(70));
     // Without these settings the defaults apply again.
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -44,7 +44,7 @@
 }
 
 /// Messages that take this part (1/n) of their objective show that a server nears its capacity.
-const SLOW_MESSAGE_DIVISOR: Nanos = 3;
+const SLOW_MESSAGE_DIVISOR: Nanos = 2;
 /// The first attempt gets the client's time divided by this. Three attempts, each twice as long as
 /// the one before, then leave an eighth for the waits between them.
 const ATTEMPT_DIVISOR: Nanos = 8;
