A client waits for the fleet's word on its admission by the time that it has

Callers saw: while admission is staged and the fleet thread does not answer, every client waited 250 ms for it, also one that has 400 ms in all. Cause: STAGED_ADMISSION_TIMEOUT was set for each request, whatever its time. Evidence: staged_admission_waits_for_a_part_of_the_time_of_the_client failed before (250 ms for a client with 400 ms). The fix: it waits for an eighth of its time, as long as a first attempt may take, and for 250 ms at most.

--- a/crates/balancer/src/core/fleet_link.rs
+++ b/crates/balancer/src/core/fleet_link.rs
@@ -21,7 +21,8 @@
 use crate::clock::nanos;
 use crate::discovery::ServerList;
 
-/// Admits a waiting client if the recovery controller has not decided by then.
+/// Admits a waiting client if the recovery controller has not decided by then, or within the time
+/// that a first attempt may take of the client's, if that is less.
 const STAGED_ADMISSION_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Name and start of a server.
@@ -192,8 +193,15 @@
                 is_reconnect,
             }))
         });
+        let client_timeout = self
+            .requests
+            .get(id)
+            .map_or(Duration::ZERO, |request_state| {
+                request_state.request.client_timeout
+            });
+        let share = Duration::from_nanos(policy::first_attempt_share(nanos(client_timeout)));
         self.set_timer(
-            STAGED_ADMISSION_TIMEOUT,
+            share.min(STAGED_ADMISSION_TIMEOUT),
             TimerKind::StagedAdmissionTimeout(id),
         );
         true
--- a/crates/balancer/src/core/fleet_link/tests.rs
+++ b/crates/balancer/src/core/fleet_link/tests.rs
@@ -296,3 +296,35 @@
             .all(|server| server.state.1 == policy::ServerState::Ready)
     );
 }
+
+/// A client with little time must not spend it waiting for a fleet thread that does not answer.
+#[test]
+fn staged_admission_waits_for_a_part_of_the_time_of_the_client() {
+    let mut core = testing::core(Clock::start(), OverrideSet::default());
+    let (events, _heard) = crossbeam_channel::unbounded();
+    core.attach_fleet(FleetLinkConfig {
+        events,
+        recovery_timeout: None,
+        staged_admission: true,
+        affinity: None,
+    });
+    let mut assert_wait = |id, client_timeout, expected: Duration| {
+        let before = core.clock.now();
+        let commands = Arc::new(CommandLog::default());
+        testing::open_request(&mut core, &commands, id, "acme", client_timeout);
+        let after = core.clock.now();
+        let timer = core.timers.iter().find_map(|Reverse((at, _, kind))| {
+            matches!(kind, TimerKind::StagedAdmissionTimeout(waiting) if *waiting == id)
+                .then_some(*at)
+        });
+        let fires_at = timer.expect("the request waits for the fleet thread");
+        let possible = before + nanos(expected)..=after + nanos(expected);
+        assert!(
+            possible.contains(&fires_at),
+            "{fires_at} is not in {possible:?}"
+        );
+    };
+    // An eighth of its time, and never more than 250 ms.
+    assert_wait(1, Duration::from_millis(400), Duration::from_millis(50));
+    assert_wait(2, Duration::from_secs(60), Duration::from_millis(250));
+}
--- a/crates/policy/tests/rotation.rs
+++ b/crates/policy/tests/rotation.rs
@@ -102,7 +102,12 @@
 /// A class that nobody at the server uses has no part in what its messages may take.
 #[test]
 fn messages_are_judged_by_the_class_of_their_connection() {
-    for (objective, latency, is_paused) in [(10, 50, false), (10, 59, false), (10, 61, true), (900, 80, true)] {
+    for (objective, latency, is_paused) in [
+        (10, 50, false),
+        (10, 59, false),
+        (10, 61, true),
+        (900, 80, true),
+    ] {
         let mut settings = settings();
         settings.classes[KEYED_ALL].message_latency_objective = objective * MS;
         let mut balancer = TestBalancer::with_servers(settings, 1);
