--- a/crates/settings/src/active.rs
+++ b/crates/settings/src/active.rs
@@ -117,7 +117,6 @@
             }),
             deadline: own.deadline.min(longest_deadline),
             message_latency_objective: 0,
-            ..own
         }
     }
 }
