After a reload open connections keep a message objective, that of their class's name

Callers saw: after a SIGHUP that changed a class, messages of connections opened before were never called slow, so that nobody was moved off a server that had become slow for them. Cause: a former class had no message objective. While the strictest class judged all, that only kept it out of the minimum; since each connection is judged by its own class, it judged nothing. Evidence: former_class_takes_the_message_objective_of_its_name failed before (0 for 80 ms). The fix: a former class has the objective of the present class with its name, which adds nothing to the minimum either; a class that was removed has none, as removed_class_affects_no_other_class asks.

--- a/crates/settings/src/active.rs
+++ b/crates/settings/src/active.rs
@@ -102,8 +102,9 @@
         self.former_class(own, &self.classes[number].name)
     }
 
-    /// The rules for requests of a former class: its own, with the stricter retry rule of both, and
-    /// without influence on what is derived from all classes.
+    /// The rules for requests of a former class: its own, with the stricter retry rule of both and the
+    /// message objective of the present class with its name. It has no influence on what is derived
+    /// from all classes.
     fn former_class(&self, own: RequestClass, name: &str) -> RequestClass {
         let present = || self.current.classes.iter();
         let longest_deadline = present()
@@ -116,7 +117,8 @@
                 stricter(own.retry_safety, class.retry_safety)
             }),
             deadline: own.deadline.min(longest_deadline),
-            message_latency_objective: 0,
+            message_latency_objective: present_class
+                .map_or(0, |class| class.message_latency_objective),
         }
     }
 }
--- a/crates/settings/tests/active_settings.rs
+++ b/crates/settings/tests/active_settings.rs
@@ -211,3 +211,29 @@
         assert_eq!(second.policy_settings(), first.policy_settings());
     }
 }
+
+/// Connections outlive a replacement; their messages are judged as those of the present class.
+#[test]
+fn former_class_takes_the_message_objective_of_its_name() {
+    let first = ActiveSettings::new(site(&[
+        ("a", "retryable", 2, 1.0),
+        ("b", "fragile", 3, 2.0),
+    ]));
+    // "b" has another deadline, and the second objective of the file as before.
+    let second = first.replaced_with(site(&[
+        ("a", "retryable", 2, 1.0),
+        ("b", "fragile", 9, 2.0),
+    ]));
+    let number =
+        |settings: &ActiveSettings| settings.class("b").expect("the class is a present one");
+    assert_ne!(number(&first), number(&second));
+    let classes = second.policy_settings().classes;
+    assert_eq!(
+        classes[number(&first)].message_latency_objective,
+        80_000_000
+    );
+    assert_eq!(
+        classes[number(&second)].message_latency_objective,
+        80_000_000
+    );
+}
