Tests take the deadline where worth or wanted time made other versions or longer attempts

The stories' fleets did the same by lane_value, and their files had on-time-ns; without another version they would have passed without a rollout. The deadline (hard-limit-ns) makes the versions now, 1 ms apart. Three NATS stories gave attempts 2 s by on-time-ns; a deadline of 16 s gives them the same 2 s.

--- a/crates/cli/tests/fleet_memory.rs
+++ b/crates/cli/tests/fleet_memory.rs
@@ -209,7 +209,10 @@
 fn clients_keep_server_during_rollout_and_rollback() {
     let mut fleet = Fleet::start(3, 2);
     let old = fleet.settings.clone();
-    let new = old.replace("\"value\":1.0", "\"value\":2.0");
+    let new = old.replace(
+        "\"hard-limit-ns\":3000000000",
+        "\"hard-limit-ns\":3001000000",
+    );
     assert_ne!(old, new);
     let start = |fleet: &Fleet, number: usize, serial: u32| {
         let process = fleet.start_process(
--- a/crates/cli/tests/nats.rs
+++ b/crates/cli/tests/nats.rs
@@ -591,7 +591,10 @@
 fn sends_nothing_to_server_after_override_acknowledged() {
     let site = Site::with(
         "withheld",
-        &SETTINGS.replace("\"on-time-ns\":400000000", "\"on-time-ns\":2000000000"),
+        &SETTINGS.replace(
+            "\"hard-limit-ns\":3000000000",
+            "\"hard-limit-ns\":16000000000",
+        ),
     );
     let (late, good) = (
         site.server("late", Behavior::DelayInfo),
@@ -807,7 +810,10 @@
     for by_reset in [false, true] {
         let site = Site::with(
             &format!("info{by_reset}"),
-            &SETTINGS.replace("\"on-time-ns\":400000000", "\"on-time-ns\":2000000000"),
+            &SETTINGS.replace(
+                "\"hard-limit-ns\":3000000000",
+                "\"hard-limit-ns\":16000000000",
+            ),
         );
         let late = site.server("late", Behavior::DelayInfo);
         let mut watch = site.discovery.accept_watch();
@@ -840,7 +846,10 @@
     for by_reset in [false, true] {
         let site = Site::with(
             &format!("line{by_reset}"),
-            &SETTINGS.replace("\"on-time-ns\":400000000", "\"on-time-ns\":2000000000"),
+            &SETTINGS.replace(
+                "\"hard-limit-ns\":3000000000",
+                "\"hard-limit-ns\":16000000000",
+            ),
         );
         assert_eq!(
             site.call_api("POST", "/v1/tenants", &tenant_json("many", "chat", 40))
--- a/crates/cli/tests/stories/affinity.rs
+++ b/crates/cli/tests/stories/affinity.rs
@@ -54,7 +54,7 @@
             number,
             ConfigVersion {
                 serial: 2,
-                lane_value: 2.0,
+                deadline_ms: 3_001,
             },
         );
         fleet.wait_until_available(5);
@@ -81,7 +81,7 @@
             number,
             ConfigVersion {
                 serial: 2,
-                lane_value: 2.0,
+                deadline_ms: 3_001,
             },
         );
     }
@@ -91,7 +91,7 @@
             number,
             ConfigVersion {
                 serial: 3,
-                lane_value: 1.0,
+                deadline_ms: 3_000,
             },
         );
     }
@@ -132,7 +132,7 @@
             number,
             ConfigVersion {
                 serial,
-                lane_value: serial as f64,
+                deadline_ms: 2_999 + u64::from(serial),
             },
         );
     }
@@ -148,7 +148,7 @@
             number,
             ConfigVersion {
                 serial: 2,
-                lane_value: 2.0,
+                deadline_ms: 3_001,
             },
         );
     }
--- a/crates/cli/tests/stories/combined.rs
+++ b/crates/cli/tests/stories/combined.rs
@@ -15,7 +15,7 @@
 const SITES: [(&str, usize); 2] = [("north", 3), ("south", 2)];
 const SECOND_VERSION: ConfigVersion = ConfigVersion {
     serial: 2,
-    lane_value: 2.0,
+    deadline_ms: 3_001,
 };
 
 #[test]
--- a/crates/fault-injection/src/fleet/balancer.rs
+++ b/crates/fault-injection/src/fleet/balancer.rs
@@ -60,7 +60,7 @@
             listen_address,
             version: ConfigVersion {
                 serial: 1,
-                lane_value: 1.0,
+                deadline_ms: 3_000,
             },
             _reservation: reservation,
             admin: ReservedAddress::default(),
@@ -140,7 +140,7 @@
     pub fn platform_config(&self, balancer: &Balancer) -> String {
         let mut platform = json!({
             "name": balancer.name, "listen": balancer.listen_address, "discovery": balancer.discovery_address, "seed": format!("{:x}", balancer.rank + 1),
-            "limits": {"sockets": 2_048}, "settings": self.config.settings((balancer.rank, balancer.version.lane_value)),
+            "limits": {"sockets": 2_048}, "settings": self.config.settings((balancer.rank, balancer.version.deadline_ms)),
         });
         if self.config.is_list_preloaded {
             platform["known"] = self.discovery.snapshot(&balancer.name);
--- a/crates/fault-injection/src/fleet/config.rs
+++ b/crates/fault-injection/src/fleet/config.rs
@@ -37,8 +37,8 @@
 pub struct ConfigVersion {
     /// The serial number in the operator's file.
     pub serial: u64,
-    /// The effect value of every lane in the settings.
-    pub lane_value: f64,
+    /// The deadline of every class in the settings, in milliseconds; another one makes another version.
+    pub deadline_ms: u64,
 }
 
 impl FleetConfig {
@@ -57,13 +57,10 @@
         }
     }
 
-    /// The settings of a process by its rank and lane value.
-    pub(super) fn settings(&self, (rank, lane_value): (usize, f64)) -> Value {
+    /// The settings of a process by its rank and the deadline of its classes.
+    pub(super) fn settings(&self, (rank, deadline_ms): (usize, u64)) -> Value {
         let nanos = |time: Duration| u64::try_from(time.as_nanos()).unwrap_or(u64::MAX);
-        let lane = |name: &str, effect: &str| {
-            json!({"name": name, "on-time-ns": 400_000_000, "hard-limit-ns": 3_000_000_000_u64,
-                   "effect": effect, "value": lane_value})
-        };
+        let lane = |name: &str, effect: &str| json!({"name": name, "hard-limit-ns": deadline_ms * 1_000_000, "effect": effect});
         let profile = &self.server_profile;
         json!({
             "discovery": "subscribe", "zones": ["a"], "zone": 0, "balancers": self.balancers, "rank": rank,
