--- a/crates/cli/tests/stories/affinity.rs
+++ b/crates/cli/tests/stories/affinity.rs
@@ -132,7 +132,7 @@
             number,
             ConfigVersion {
                 serial,
-                deadline_ms: 2_999 + u64::from(serial),
+                deadline_ms: 2_999 + serial,
             },
         );
     }
