--- a/crates/balancer/src/core/fleet_link/tests.rs
+++ b/crates/balancer/src/core/fleet_link/tests.rs
@@ -14,6 +14,22 @@
 
 const LONG_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Links a core to a fleet thread; returns what the core tells it.
+fn attach_fleet(
+    core: &mut Core,
+    recovery_timeout: Option<Duration>,
+    staged_admission: bool,
+) -> crossbeam_channel::Receiver<CoreEvent> {
+    let (events, told) = crossbeam_channel::unbounded();
+    core.attach_fleet(FleetLinkConfig {
+        events,
+        recovery_timeout,
+        staged_admission,
+        affinity: None,
+    });
+    told
+}
+
 /// Plays the same inputs on a core; returns its commands as text, and the core.
 fn run_scenario(mut core: Core) -> (String, Core) {
     let commands = Arc::new(CommandLog::default());
@@ -47,13 +63,7 @@
     let clock = Clock::start();
     let (without_fleet, _) = run_scenario(testing::core(clock, OverrideSet::default()));
     let mut core = testing::core(clock, OverrideSet::default());
-    let (events, events_receiver) = crossbeam_channel::unbounded();
-    core.attach_fleet(FleetLinkConfig {
-        events,
-        recovery_timeout: None,
-        staged_admission: false,
-        affinity: None,
-    });
+    let events_receiver = attach_fleet(&mut core, None, false);
     let (with_fleet, core) = run_scenario(core);
     assert_eq!(without_fleet, with_fleet);
     assert!(without_fleet.contains("StartAttempt"), "{without_fleet}");
@@ -82,13 +92,7 @@
 #[test]
 fn ends_recovery_after_timeout() {
     let mut core = testing::core(Clock::start(), OverrideSet::default());
-    let (events, _heard) = crossbeam_channel::unbounded();
-    core.attach_fleet(FleetLinkConfig {
-        events,
-        recovery_timeout: Some(Duration::ZERO),
-        staged_admission: false,
-        affinity: None,
-    });
+    let _heard = attach_fleet(&mut core, Some(Duration::ZERO), false);
     core.on_lifecycle_command(LifecycleCommand::SetListening(true))
         .expect("only commands of operators can be refused");
     assert_eq!(
@@ -109,13 +113,7 @@
     let mut core = testing::core(Clock::start(), OverrideSet::default());
     let (poll_sender, polls) = crossbeam_channel::unbounded();
     core.discovery_polls = poll_sender;
-    let (events, _heard) = crossbeam_channel::unbounded();
-    core.attach_fleet(FleetLinkConfig {
-        events,
-        recovery_timeout: None,
-        staged_admission: false,
-        affinity: None,
-    });
+    let _heard = attach_fleet(&mut core, None, false);
     core.handle_input(CoreInput::Fleet(FleetEvent::PollDiscovery));
     assert!(polls.is_empty(), "the policy has not requested a poll");
     core.handle_input(CoreInput::Fleet(FleetEvent::PauseDiscovery(LONG_TIMEOUT)));
@@ -207,13 +205,7 @@
         testing::core(Clock::start(), OverrideSet::default()),
         Arc::new(CommandLog::default()),
     );
-    let (events, events_receiver) = crossbeam_channel::unbounded();
-    core.attach_fleet(FleetLinkConfig {
-        events,
-        recovery_timeout: None,
-        staged_admission: true,
-        affinity: None,
-    });
+    let events_receiver = attach_fleet(&mut core, None, true);
     (0..4).for_each(|id| testing::open_request(&mut core, &commands, id, "acme", LONG_TIMEOUT));
     let admission_requests = events_receiver
         .try_iter()
@@ -301,13 +293,7 @@
 #[test]
 fn staged_admission_waits_for_a_part_of_the_time_of_the_client() {
     let mut core = testing::core(Clock::start(), OverrideSet::default());
-    let (events, _heard) = crossbeam_channel::unbounded();
-    core.attach_fleet(FleetLinkConfig {
-        events,
-        recovery_timeout: None,
-        staged_admission: true,
-        affinity: None,
-    });
+    let _heard = attach_fleet(&mut core, None, true);
     let mut assert_wait = |id, client_timeout, expected: Duration| {
         let before = core.clock.now();
         let commands = Arc::new(CommandLog::default());
--- a/crates/fault-injection/src/fleet/config.rs
+++ b/crates/fault-injection/src/fleet/config.rs
@@ -60,7 +60,8 @@
     /// The settings of a process by its rank and the deadline of its classes.
     pub(super) fn settings(&self, (rank, deadline_ms): (usize, u64)) -> Value {
         let nanos = |time: Duration| u64::try_from(time.as_nanos()).unwrap_or(u64::MAX);
-        let lane = |name: &str, effect: &str| json!({"name": name, "hard-limit-ns": deadline_ms * 1_000_000, "effect": effect});
+        let deadline_ns = deadline_ms * 1_000_000;
+        let lane = |name: &str, effect: &str| json!({"name": name, "hard-limit-ns": deadline_ns, "effect": effect});
         let profile = &self.server_profile;
         json!({
             "discovery": "subscribe", "zones": ["a"], "zone": 0, "balancers": self.balancers, "rank": rank,
--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -48,7 +48,7 @@
                 let Some(class) = self.requests.get(id).map(|request| request.connect.class) else {
                     return;
                 };
-                self.on_message_latency(now, (class, current.server), latency, actions);
+                self.on_message_latency(now, class, current.server, latency, actions);
             }
         }
     }
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -146,7 +146,7 @@
 pub enum ProbeAnswer {
     /// The server reported its load, relative to its capacity.
     Load(f64),
-    /// The server answered without a usable load.
+    /// The server answered without a usable load: nothing speaks against it.
     NoLoad,
     /// The server reported an error, its answer can't be parsed, or there was none in time.
     Unhealthy,
--- a/crates/policy/src/overload.rs
+++ b/crates/policy/src/overload.rs
@@ -42,7 +42,8 @@
     pub(crate) fn on_message_latency(
         &mut self,
         now: Nanos,
-        (class, server): (ClassId, ServerId),
+        class: ClassId,
+        server: ServerId,
         latency: Nanos,
         actions: &mut Vec<Action>,
     ) {
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -5,6 +5,12 @@
 use crate::ids::ClassId;
 use crate::time::{Nanos, seconds};
 
+/// Messages that take this part (1/n) of their objective show that a server nears its capacity.
+const SLOW_MESSAGE_DIVISOR: Nanos = 2;
+/// The first attempt gets the client's time divided by this. Three attempts, each twice as long as
+/// the one before, then leave an eighth for the waits between them.
+const ATTEMPT_DIVISOR: Nanos = 8;
+
 /// The set of servers that share one record of idempotency keys.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DedupScope {
@@ -43,12 +49,6 @@
     pub message_latency_objective: Nanos,
 }
 
-/// Messages that take this part (1/n) of their objective show that a server nears its capacity.
-const SLOW_MESSAGE_DIVISOR: Nanos = 2;
-/// The first attempt gets the client's time divided by this. Three attempts, each twice as long as
-/// the one before, then leave an eighth for the waits between them.
-const ATTEMPT_DIVISOR: Nanos = 8;
-
 /// The part of a client's time that its first attempt may take.
 pub fn first_attempt_share(client_time: Nanos) -> Nanos {
     client_time / ATTEMPT_DIVISOR
