--- /dev/null
+++ b/review/stand-ins-2/src/cases.rs
@@ -0,0 +1,21 @@
+//! The cases. Each returns whether the rule held.
+
+mod late_delete;
+mod old_values;
+mod silent_server;
+mod site;
+mod slow_store;
+mod spoilt_load;
+
+use crate::record::Record;
+
+pub fn run(case: &str, trouble: bool, record: &mut Record) -> Result<bool, String> {
+    match case {
+        "slow-store" => slow_store::run(trouble, record),
+        "old-values" => old_values::run(trouble, record),
+        "late-delete" => late_delete::run(trouble, record),
+        "silent-server" => silent_server::run(trouble, record),
+        "spoilt-load" => spoilt_load::run(trouble, record),
+        _ => Err(format!("no such case: {case}")),
+    }
+}
--- /dev/null
+++ b/review/stand-ins-2/src/platform.rs
@@ -0,0 +1,187 @@
+//! Stand-ins of the platform: discovery, servers and clients, after PROTOCOL.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// A server that accepts every connection, tells its load once and answers every line at once.
+#[derive(Clone)]
+pub struct Server {
+    pub name: String,
+    pub address: SocketAddr,
+    state: Arc<State>,
+}
+
+#[derive(Default)]
+struct State {
+    /// Opening lines that have arrived.
+    opened: AtomicUsize,
+    connections: Mutex<Vec<TcpStream>>,
+}
+
+impl Server {
+    pub fn start(name: &str) -> std::io::Result<Server> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let server = Server {
+            name: name.to_owned(),
+            address: listener.local_addr()?,
+            state: Arc::default(),
+        };
+        let shared = server.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let shared = shared.clone();
+                std::thread::spawn(move || shared.serve(&stream));
+            }
+        });
+        Ok(server)
+    }
+
+    /// Number of opening lines that have arrived.
+    pub fn opened(&self) -> usize {
+        self.state.opened.load(Ordering::SeqCst)
+    }
+
+    /// Sends a line on the oldest connection that is open; returns whether there was one.
+    pub fn send_once(&self, line: &str) -> bool {
+        let mut connections = self.state.connections.lock().expect("the server's lock");
+        connections
+            .iter_mut()
+            .any(|connection| connection.write_all(line.as_bytes()).is_ok())
+    }
+
+    fn serve(&self, stream: &TcpStream) {
+        let mut out = stream;
+        let _ = stream.set_nodelay(true);
+        let mut reader = BufReader::new(stream);
+        let mut line = String::new();
+        if !matches!(reader.read_line(&mut line), Ok(count) if count > 0) {
+            return;
+        }
+        if !line.starts_with("OPEN ") {
+            let _ = out.write_all(b"SYNTAX\r\n");
+            return;
+        }
+        let number = self.state.opened.fetch_add(1, Ordering::SeqCst);
+        let greeting = format!("UP {}-{number}\r\nLOAD 12000\r\n", self.name);
+        if out.write_all(greeting.as_bytes()).is_err() {
+            return;
+        }
+        let id = stream.peer_addr().ok();
+        if let Ok(clone) = stream.try_clone() {
+            let mut connections = self.state.connections.lock().expect("the server's lock");
+            connections.push(clone);
+        }
+        loop {
+            line.clear();
+            if !matches!(reader.read_line(&mut line), Ok(count) if count > 0)
+                || out.write_all(b"OK\r\n").is_err()
+            {
+                break;
+            }
+        }
+        let mut connections = self.state.connections.lock().expect("the server's lock");
+        connections.retain(|connection| connection.peer_addr().ok() != id);
+    }
+}
+
+/// Starts discovery, which tells these servers and no change; it runs until the process ends.
+pub fn start_discovery(servers: &[Server]) -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    let list = list(servers);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let list = list.clone();
+            std::thread::spawn(move || serve_discovery(&stream, &list));
+        }
+    });
+    Ok(address)
+}
+
+/// The whole list in discovery's form.
+pub fn list(servers: &[Server]) -> String {
+    let entries: Vec<String> = servers
+        .iter()
+        .map(|server| {
+            format!(
+                r#"{{"instanceId":"{}","hostPort":"{}","zone":"a","machineType":"m","cell":0,"lifecycle":"SERVING","weight":1.0,"startedAtMs":0}}"#,
+                server.name, server.address
+            )
+        })
+        .collect();
+    format!(
+        r#"{{"generation":1,"reset":true,"instances":[{}]}}"#,
+        entries.join(",")
+    )
+}
+
+fn serve_discovery(stream: &TcpStream, list: &str) {
+    let mut out = stream;
+    let mut reader = BufReader::new(stream);
+    let mut request = String::new();
+    if reader.read_line(&mut request).is_err() {
+        return;
+    }
+    loop {
+        let mut header = String::new();
+        match reader.read_line(&mut header) {
+            Ok(count) if count > 0 && header.trim_end().is_empty() => break,
+            Ok(count) if count > 0 => {}
+            _ => return,
+        }
+    }
+    if !request.contains("watch=1") {
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", list.len());
+        let _ = out.write_all(format!("{head}{list}").as_bytes());
+        return;
+    }
+    let mut chunk =
+        |text: &str| out.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes());
+    let _ = (&*stream).write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    if request.contains("from=0") && chunk(&format!("{list}\n")).is_err() {
+        return;
+    }
+    while chunk("\n").is_ok() {
+        std::thread::sleep(Duration::from_secs(2));
+    }
+}
+
+/// How a client's request ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    Up,
+    Busy(String),
+    Failed(String),
+    None(String),
+}
+
+/// Opens a connection and waits for the answer; returns the connection if it is up.
+pub fn open(
+    address: SocketAddr,
+    line: &str,
+    wait: Duration,
+) -> (Answer, Duration, Option<BufReader<TcpStream>>) {
+    let started_at = Instant::now();
+    let exchange = || -> std::io::Result<(String, BufReader<TcpStream>)> {
+        let stream = TcpStream::connect(address)?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(wait))?;
+        (&stream).write_all(line.as_bytes())?;
+        let mut reader = BufReader::new(stream);
+        let mut answer = String::new();
+        reader.read_line(&mut answer)?;
+        Ok((answer.trim_end().to_owned(), reader))
+    };
+    let result = exchange();
+    let took = started_at.elapsed();
+    match result {
+        Ok((answer, reader)) if answer.starts_with("UP") => (Answer::Up, took, Some(reader)),
+        Ok((answer, _)) if answer.starts_with("BUSY") => (Answer::Busy(answer), took, None),
+        Ok((answer, _)) if answer.is_empty() => (Answer::None("closed".into()), took, None),
+        Ok((answer, _)) => (Answer::Failed(answer), took, None),
+        Err(error) => (Answer::None(error.to_string()), took, None),
+    }
+}
