--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -7,4 +7,4 @@
 driver=$REVIEW_ROOT/review/stand-ins-2/target/release/review-cases-2
 [ -x "$driver" ] || { echo "review/build-2.sh has not run" >&2; exit 2; }
 [ -x "$REVIEW_ROOT/target/release/beaconflow" ] || { echo "the program is not built" >&2; exit 2; }
-exec "$driver" old-values .
+exec "$driver" silent-server .
