--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -4,17 +4,19 @@
 mod old_values;
 mod silent_server;
 mod site;
-mod slow_store;
+mod slow_drain;
 mod spoilt_load;
+mod trickling_store;
 
 use crate::record::Record;
 
 pub fn run(case: &str, trouble: bool, record: &mut Record) -> Result<bool, String> {
     match case {
-        "slow-store" => slow_store::run(trouble, record),
+        "trickling-store" => trickling_store::run(trouble, record),
         "old-values" => old_values::run(trouble, record),
         "late-delete" => late_delete::run(trouble, record),
         "silent-server" => silent_server::run(trouble, record),
+        "slow-drain" => slow_drain::run(trouble, record),
         "spoilt-load" => spoilt_load::run(trouble, record),
         _ => Err(format!("no such case: {case}")),
     }
--- a/review/stand-ins-2/src/platform.rs
+++ b/review/stand-ins-2/src/platform.rs
@@ -18,6 +18,8 @@
 struct State {
     /// Opening lines that have arrived.
     opened: AtomicUsize,
+    /// Time that a line takes, in milliseconds.
+    line_ms: AtomicUsize,
     connections: Mutex<Vec<TcpStream>>,
 }
 
@@ -44,6 +46,12 @@
         self.state.opened.load(Ordering::SeqCst)
     }
 
+    /// Each line is answered after so long from now on.
+    pub fn set_line_time(&self, time: Duration) {
+        let millis = usize::try_from(time.as_millis()).unwrap_or(usize::MAX);
+        self.state.line_ms.store(millis, Ordering::SeqCst);
+    }
+
     /// Sends a line on the oldest connection that is open; returns whether there was one.
     pub fn send_once(&self, line: &str) -> bool {
         let mut connections = self.state.connections.lock().expect("the server's lock");
@@ -76,9 +84,12 @@
         }
         loop {
             line.clear();
-            if !matches!(reader.read_line(&mut line), Ok(count) if count > 0)
-                || out.write_all(b"OK\r\n").is_err()
-            {
+            if !matches!(reader.read_line(&mut line), Ok(count) if count > 0) {
+                break;
+            }
+            let millis = self.state.line_ms.load(Ordering::SeqCst) as u64;
+            std::thread::sleep(Duration::from_millis(millis));
+            if out.write_all(b"OK\r\n").is_err() {
                 break;
             }
         }
@@ -185,3 +196,26 @@
         Err(error) => (Answer::None(error.to_string()), took, None),
     }
 }
+
+/// What the front's question is answered.
+pub fn ping(address: SocketAddr) -> String {
+    match open(address, "PING\r\n", Duration::from_secs(2)).0 {
+        Answer::Failed(line) => line,
+        other => format!("{other:?}"),
+    }
+}
+
+/// A configuration like that of a small deployment.
+pub fn config(listen: SocketAddr, discovery: SocketAddr, known: &str) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+"limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
+"known":{known},
+"settings":{{"balancers":3,"discovery":"subscribe","zones":["a"],"zone":0,"rank":0,
+"family":"conn","family-info":{{"groups":true,"mode":"proxy","message-aim-ns":[50000000],"tells-load":true,"tells-delay":true}},
+"projects":[{{"name":"acme","quota-per-s":12.0,"share":1.0}}],
+"lanes":[{{"name":"telemetry","on-time-ns":800000000,"hard-limit-ns":4800000000,"effect":"retryable","dedup-scope":"all","repeat-window-ns":5000000000,"streaming":true,"value":1.0}}],
+"policy-limits":{{"max-attempts":6,"connect-timeout-ns":200000000,"retry-after":false,"max-retry-after-ns":2000000000,"may-probe":false,"second-copies":false}},
+"rules":{{"cold-share":0.13,"cold-ns":23000000000,"tip-multiple":3.0,"fall-ns":1500000000,"ask-within-ns":10000000000,"drain-grace-ns":1000000000,"grace-to-answer-ns":8000000}}}}}}"#
+    )
+}
