--- a/review/stand-ins-2/src/program.rs
+++ b/review/stand-ins-2/src/program.rs
@@ -1,7 +1,7 @@
 //! The balancer as a process of its own, started as the deploy file starts it.
 
 use std::fs::{self, File};
-use std::io;
+use std::io::{self, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -31,26 +31,43 @@
 }
 
 /// The balancers that run, so that a case that takes too long can end them.
-static RUNNING: Mutex<Vec<Arc<Mutex<Child>>>> = Mutex::new(Vec::new());
+static RUNNING: Mutex<Vec<Arc<Mutex<Process>>>> = Mutex::new(Vec::new());
 
 /// Ends all balancers.
 pub fn end_all() {
-    for child in RUNNING.lock().expect("the list's lock").drain(..) {
-        let mut child = child.lock().expect("the process's lock");
-        let _ = child.kill();
-        let _ = child.wait();
+    for process in RUNNING.lock().expect("the list's lock").drain(..) {
+        process.lock().expect("the process's lock").end();
+    }
+}
+
+/// A balancer's process, and a shell that kills it and removes the case's folder if the driver is
+/// killed from outside: the shell's input ends then without a line.
+struct Process {
+    child: Child,
+    guard: Child,
+}
+
+impl Process {
+    fn end(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if let Some(mut input) = self.guard.stdin.take() {
+            let _ = input.write_all(b"ended\n");
+        }
+        let _ = self.guard.wait();
     }
 }
 
 /// The balancer; ended when dropped.
 pub struct Balancer {
-    child: Arc<Mutex<Child>>,
+    process: Arc<Mutex<Process>>,
     log: PathBuf,
 }
 
 impl Balancer {
-    /// Starts `run` of the deploy file with these arguments.
+    /// Starts `run` of the deploy file with these arguments. `log` is in the case's folder.
     pub fn start(arguments: &str, variables: &[(&str, &str)], log: &Path) -> io::Result<Balancer> {
+        let folder = log.parent().ok_or(io::ErrorKind::InvalidInput)?;
         let root = std::env::var("REVIEW_ROOT").unwrap_or_else(|_| ".".into());
         let mut command = Command::new("/bin/sh");
         command
@@ -64,23 +81,36 @@
         for (name, value) in variables {
             command.env(name, value);
         }
-        let child = Arc::new(Mutex::new(command.spawn()?));
+        let mut child = command.spawn()?;
+        let guard = Command::new("/bin/sh")
+            .args(["-c", r#"read -r line || { kill -9 "$0"; rm -rf "$1"; }"#])
+            .arg(child.id().to_string())
+            .arg(folder)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn();
+        let guard = guard.inspect_err(|_| {
+            let _ = child.kill();
+            let _ = child.wait();
+        })?;
+        let process = Arc::new(Mutex::new(Process { child, guard }));
         let mut running = RUNNING.lock().expect("the list's lock");
-        running.push(Arc::clone(&child));
+        running.push(Arc::clone(&process));
         Ok(Balancer {
-            child,
+            process,
             log: log.to_owned(),
         })
     }
 
     pub fn id(&self) -> u32 {
-        self.child.lock().expect("the process's lock").id()
+        self.process.lock().expect("the process's lock").child.id()
     }
 
     /// Whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
-        let mut child = self.child.lock().expect("the process's lock");
-        !matches!(child.try_wait(), Ok(None))
+        let mut process = self.process.lock().expect("the process's lock");
+        !matches!(process.child.try_wait(), Ok(None))
     }
 
     /// Waits until something accepts at the address.
@@ -105,8 +135,6 @@
 
 impl Drop for Balancer {
     fn drop(&mut self) {
-        let mut child = self.child.lock().expect("the process's lock");
-        let _ = child.kill();
-        let _ = child.wait();
+        self.process.lock().expect("the process's lock").end();
     }
 }
