--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -5,6 +5,7 @@
 mod silent_server;
 mod site;
 mod slow_drain;
+mod slow_reader;
 mod spoilt_load;
 mod trickling_store;
 
@@ -17,6 +18,7 @@
         "late-delete" => late_delete::run(trouble, record),
         "silent-server" => silent_server::run(trouble, record),
         "slow-drain" => slow_drain::run(trouble, record),
+        "slow-reader" => slow_reader::run(trouble, record),
         "spoilt-load" => spoilt_load::run(trouble, record),
         _ => Err(format!("no such case: {case}")),
     }
--- a/review/stand-ins-2/src/platform.rs
+++ b/review/stand-ins-2/src/platform.rs
@@ -6,7 +6,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// A server that accepts every connection, tells its load once and answers every line at once.
+/// A server that accepts every connection, tells its load once and answers every line at once; the
+/// line `settings N` with N lines of 1 KiB first.
 #[derive(Clone)]
 pub struct Server {
     pub name: String,
@@ -89,6 +90,13 @@
             }
             let millis = self.state.line_ms.load(Ordering::SeqCst) as u64;
             std::thread::sleep(Duration::from_millis(millis));
+            let count = line.strip_prefix("settings ").map(str::trim);
+            for number in 0..count.and_then(|count| count.parse().ok()).unwrap_or(0) {
+                let setting = format!("{number:06} {}\r\n", "s".repeat(1015));
+                if out.write_all(setting.as_bytes()).is_err() {
+                    break;
+                }
+            }
             if out.write_all(b"OK\r\n").is_err() {
                 break;
             }
