Relay: a server is judged by its answers, not by what its client sends

Cause: the balancer's PING was due when nothing had been sent for ping_after_ms. Whatever the client sent put it off, also what asks nothing, and in the middle of a client's message no PING can be sent.

The tests of a sound server, late answers and a server that reads slowly pass before and after.

Fix: liveness.rs judges the server by the requests that it owes an answer to, for both fronts. A keepalive is due when the server has not been asked for the idle interval. A client's incomplete message is held back within a budget, so that keepalives fit between messages; where it can't be, silence of 6.8 s decides. Behind much data an answer may be late as long as the server is not silent. Timeouts are checked when due.

--- a/crates/balancer/src/connections/event_loop/connection.rs
+++ b/crates/balancer/src/connections/event_loop/connection.rs
@@ -11,7 +11,9 @@
 use crate::attempt::{AttemptError, ConnectionEnd, ServerAnswer, WaitingClient};
 use crate::connections::connect::EstablishedServer;
 use crate::connections::lingering::LingeringClose;
-use crate::connections::relay::{ClientConnection, EstablishedConnection, Side};
+use crate::connections::relay::{
+    ClientConnection, EstablishedConnection, Side, TICK_INTERVAL, UnansweredRequests,
+};
 use crate::core::{ConnectionCommand, ConnectionSlot, CoreInput, Endpoint};
 use crate::front::{ClientMessage, Front};
 use crate::net::ReadError;
@@ -145,12 +147,15 @@
         }
     }
 
-    /// Handles timeouts.
-    pub(super) fn on_tick(&mut self, context: &FrontContext<F>) {
+    /// Handles timeouts. Returns the time until the next check is due.
+    pub(super) fn on_tick(&mut self, context: &FrontContext<F>) -> Duration {
         match &mut self.state {
             ConnectionState::Established(established) => {
-                let result = established.on_tick(&context.migration_message);
-                self.continue_or_end(result, context);
+                let limits = context.front.response_limits();
+                match established.on_tick(&limits, &context.migration_message) {
+                    Ok(next_check) => return next_check,
+                    Err(end) => self.continue_or_end(Err(end), context),
+                }
             }
             ConnectionState::HalfClosed(_, deadline_at) if Instant::now() >= *deadline_at => {
                 self.close(ConnectionEnd::ClientClosed)
@@ -158,6 +163,7 @@
             ConnectionState::Lingering(..) => self.finish_lingering(),
             _ => {}
         }
+        TICK_INTERVAL
     }
 
     /// Handles a command of the core.
@@ -252,8 +258,9 @@
             &*context.front,
             client_connection,
             server,
-            &context.core,
-            self.id,
+            (&context.core, self.id),
+            &context.held_bytes,
+            UnansweredRequests::default(),
         ));
         let result = established.start_relay((&answer, &read_ahead), &context.migration_message);
         self.state = ConnectionState::Established(established);
--- a/crates/balancer/src/connections/event_loop/handover.rs
+++ b/crates/balancer/src/connections/event_loop/handover.rs
@@ -9,7 +9,7 @@
 use super::run::EventLoop;
 use super::{Admitted, FrontContext, TakenOverConnection};
 use crate::attempt::{AttemptError, ConnectionEnd};
-use crate::connections::relay::{ClientConnection, EstablishedConnection};
+use crate::connections::relay::{ClientConnection, EstablishedConnection, UnansweredRequests};
 use crate::core::{ClientRequest, CommandSender};
 use crate::front::Front;
 use crate::handover::{HandoverSender, TransferredConnection};
@@ -98,7 +98,12 @@
             server_name,
             ..
         } = transferred;
-        let FrontContext { front, core, .. } = &self.context;
+        let FrontContext {
+            front,
+            core,
+            held_bytes,
+            ..
+        } = &self.context;
         let server_name: Arc<str> = Arc::from(server_name);
         let request = ClientRequest {
             resumed_server: None,
@@ -107,7 +112,14 @@
         let commands = Arc::clone(&self.handle) as Arc<dyn CommandSender>;
         let id = core.adopt(request, Arc::clone(&server_name), commands);
         let client_connection = ClientConnection::new(&**front, client, Vec::new());
-        let established = EstablishedConnection::new(&**front, client_connection, server, core, id);
+        let established = EstablishedConnection::new(
+            &**front,
+            client_connection,
+            server,
+            (core, id),
+            held_bytes,
+            UnansweredRequests::default(),
+        );
         let state = ConnectionState::Established(Box::new(established));
         self.insert(id, Some(server_handshake), (state, Some(server_name)), slot);
     }
--- a/crates/balancer/src/connections/event_loop/mod.rs
+++ b/crates/balancer/src/connections/event_loop/mod.rs
@@ -16,7 +16,7 @@
 
 use crate::attempt::AttemptError;
 use crate::connections::connect::EstablishedServer;
-use crate::connections::relay::ClientConnection;
+use crate::connections::relay::{ClientConnection, HeldBytes};
 use crate::core::{ClientRequest, CommandSender, ConnectionCommand, ConnectionSlot, CoreHandle};
 use crate::front::{ClientMessage, Front};
 use crate::handover::{HandoverAddress, TransferredConnection};
@@ -109,6 +109,8 @@
     migration_message: Vec<u8>,
     /// Where connections are handed over; `None` if this front does not hand over.
     handover: Option<HandoverAddress>,
+    /// What the front holds back of clients' incomplete messages.
+    held_bytes: HeldBytes,
     /// Limits the lines about clients that break the protocol, which they can do at will.
     client_errors: RateLimitedLog,
     /// Limits the lines about connections that servers or timeouts end.
@@ -136,6 +138,7 @@
         core: core.clone(),
         migration_message: front.encode(ClientMessage::Migrate),
         handover,
+        held_bytes: HeldBytes::default(),
         client_errors: RateLimitedLog::default(),
         server_errors: RateLimitedLog::default(),
     };
--- a/crates/balancer/src/connections/event_loop/run.rs
+++ b/crates/balancer/src/connections/event_loop/run.rs
@@ -13,14 +13,15 @@
     Admitted, AdmittedClient, ConnectionInput, ConnectionsHandle, FrontContext, attempt_thread,
 };
 use crate::attempt::AttemptError;
-use crate::connections::relay::Side;
+use crate::connections::relay::{Side, TICK_INTERVAL};
 use crate::core::{AttemptTiming, CommandSender, ConnectionCommand, ConnectionSlot, Endpoint};
 use crate::front::Front;
 use crate::handover::HandoverSender;
 use crate::poller::Poller;
 
-/// Interval of the timeout checks.
-const TICK_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest interval of the timeout checks, for a connection whose timeout comes before the next
+/// regular one.
+const MIN_TICK_INTERVAL: Duration = Duration::from_millis(10);
 /// Longest wait of a thread without connections.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Most inputs handled between two looks at the sockets, so that new clients do not delay the
@@ -38,6 +39,8 @@
     pub(super) handover_sender: Option<Option<HandoverSender>>,
     /// Connections that could not be handed over yet.
     pub(super) awaiting_handover: Vec<u64>,
+    /// Time from the last check of timeouts to the next one.
+    tick_interval: Duration,
 }
 
 impl<F: Front> EventLoop<F> {
@@ -57,6 +60,7 @@
             connections,
             handover_sender,
             awaiting_handover,
+            tick_interval: TICK_INTERVAL,
         }
     }
 
@@ -75,7 +79,7 @@
                 });
             }
             self.handle_inputs();
-            if last_tick_at.elapsed() >= TICK_INTERVAL {
+            if last_tick_at.elapsed() >= self.tick_interval {
                 last_tick_at = Instant::now();
                 self.on_tick();
             }
@@ -90,7 +94,7 @@
         let interval = if self.connections.is_empty() {
             IDLE_TIMEOUT
         } else {
-            TICK_INTERVAL
+            self.tick_interval
         };
         interval.saturating_sub(last_tick_at.elapsed())
     }
@@ -110,9 +114,13 @@
 
     fn on_tick(&mut self) {
         let ids: Vec<u64> = self.connections.keys().copied().collect();
+        let mut next_check = TICK_INTERVAL;
         for id in ids {
-            self.with_connection(id, Connection::on_tick);
+            self.with_connection(id, |connection, context| {
+                next_check = next_check.min(connection.on_tick(context));
+            });
         }
+        self.tick_interval = next_check.max(MIN_TICK_INTERVAL);
         for id in std::mem::take(&mut self.awaiting_handover) {
             self.hand_over(id);
         }
--- a/crates/balancer/src/connections/relay.rs
+++ b/crates/balancer/src/connections/relay.rs
@@ -4,10 +4,12 @@
 
 mod client;
 mod ending;
+mod liveness;
+mod message_hold;
 mod migration;
 mod monitor;
+mod supervision;
 
-use std::collections::VecDeque;
 use std::io::{ErrorKind, Read};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
@@ -18,12 +20,23 @@
 use crate::net::{self, WriteBuffer};
 use crate::poller::EventFlags;
 pub use client::ClientConnection;
-use monitor::{PendingRequest, ServerMonitor};
+use liveness::ServerLiveness;
+pub use liveness::UnansweredRequests;
+pub use message_hold::HeldBytes;
+use message_hold::MessageHold;
+use monitor::ServerMonitor;
+use supervision::WriteStalls;
+
+/// Interval of the timeout checks.
+pub const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// A migration waits this long for the end of a message that has begun.
 const MIGRATION_TIMEOUT: Duration = Duration::from_millis(700);
 /// Bytes read at a time.
 const READ_CHUNK_BYTES: usize = 4096;
+/// Most bytes that the system buffers for a server that is sent keepalives. A keepalive is sent
+/// behind them, so that a slow server is late with its answer by the time that it takes for them.
+const SERVER_SEND_BUFFER_BYTES: usize = 128 * 1024;
 /// Most unanswered messages of one connection; a client that sends more violates the protocol.
 const MAX_UNANSWERED: usize = 1024;
 
@@ -39,11 +52,9 @@
     client_write_error: Option<ErrorKind>,
     /// Why writes to the server fail.
     server_write_error: Option<ErrorKind>,
-    /// When all outgoing bytes had last been taken.
-    last_drained_at: Instant,
-    /// When the client or a keepalive last sent a message.
-    last_request_at: Instant,
-    response_timeout: Duration,
+    /// The client's incomplete message.
+    message_hold: MessageHold,
+    write_stalls: WriteStalls,
     monitor: ServerMonitor,
 }
 
@@ -57,20 +68,25 @@
 }
 
 impl EstablishedConnection {
-    /// Creates a connection from a successful attempt; [`EstablishedConnection::start_relay`]
-    /// begins the relay.
+    /// Creates a connection from a successful attempt, or one of another process with what its
+    /// server owes; [`EstablishedConnection::start_relay`] begins the relay of a new one.
     pub fn new<F: Front>(
         front: &F,
         client: ClientConnection,
         server: TcpStream,
-        core: &CoreHandle,
-        id: u64,
+        (core, id): (&CoreHandle, u64),
+        held_bytes: &HeldBytes,
+        unanswered: UnansweredRequests,
     ) -> EstablishedConnection {
         let now = Instant::now();
+        let has_keepalive = front.response_limits().keepalive.is_some();
+        if has_keepalive {
+            net::limit_send_buffer(&server, SERVER_SEND_BUFFER_BYTES);
+        }
         let monitor = ServerMonitor {
             core: core.clone(),
             id,
-            pending: VecDeque::new(),
+            liveness: ServerLiveness::new(now, unanswered),
             was_slow: false,
             message_started_at: now,
             received_at: now,
@@ -85,9 +101,8 @@
             to_server: WriteBuffer::default(),
             client_write_error: None,
             server_write_error: None,
-            last_drained_at: now,
-            last_request_at: now,
-            response_timeout: front.response_timeout(),
+            message_hold: MessageHold::new(has_keepalive.then(|| held_bytes.clone())),
+            write_stalls: WriteStalls::default(),
             monitor,
         }
     }
@@ -189,6 +204,8 @@
 
     /// Writes to the server. After a failed write, the server's last lines still go to the client.
     fn write_to_server(&mut self, buffers: &[&[u8]]) {
+        let bytes = buffers.iter().map(|buffer| buffer.len()).sum();
+        self.monitor.liveness.on_sent(bytes);
         write(
             &self.server,
             &mut self.to_server,
@@ -197,34 +214,6 @@
         );
     }
 
-    /// Handles timeouts.
-    pub fn on_tick(&mut self, migration_message: &[u8]) -> Result<(), ConnectionEnd> {
-        if !self.to_server.is_empty() && self.is_client_reset() {
-            // The client is not polled while the server takes nothing.
-            return Err(ConnectionEnd::ClientReset);
-        }
-        self.send_keepalive();
-        if self.client.outgoing.is_empty() && self.to_server.is_empty() {
-            self.last_drained_at = Instant::now();
-        } else if self.last_drained_at.elapsed() >= net::WRITE_TIMEOUT {
-            // A side is not read while the other one has unsent bytes, so the blocked one is known.
-            return Err(if self.client.outgoing.is_empty() {
-                ConnectionEnd::ServerReset
-            } else {
-                ConnectionEnd::ClientReset
-            });
-        }
-        if self.monitor.oldest_pending_age() >= self.response_timeout {
-            // An answer may be unread because this process was suspended.
-            self.on_ready(Side::Server, migration_message)?;
-            if self.monitor.oldest_pending_age() >= self.response_timeout {
-                self.write_migration(migration_message);
-                return Err(ConnectionEnd::ServerUnresponsive);
-            }
-        }
-        self.continue_migration(migration_message)
-    }
-
     /// Whether the client has reset the connection, also if its input is still unread.
     fn is_client_reset(&self) -> bool {
         was_reset(self.client_write_error)
@@ -233,6 +222,11 @@
             })
     }
 
+    /// What the server owes, for the process that takes the connection over.
+    pub fn unanswered_requests(&self) -> UnansweredRequests {
+        self.monitor.liveness.unanswered(Instant::now())
+    }
+
     /// Whether this process buffers no bytes of the connection and both sides are between messages.
     pub fn can_be_handed_over(&self) -> bool {
         let has_unsent = !(self.client.outgoing.is_empty() && self.to_server.is_empty());
@@ -260,40 +254,22 @@
                     request_count += usize::from(kind == MessageKind::Request);
                     true
                 });
-        let FrameProgress { consumed, .. } = progress
+        let FrameProgress {
+            consumed, boundary, ..
+        } = progress
             .map_err(|ProtocolError { answer }| ConnectionEnd::ClientProtocolError(answer))?;
-        if self.monitor.pending.len() + request_count > MAX_UNANSWERED {
+        let liveness = &mut self.monitor.liveness;
+        if liveness.unanswered_count() + request_count > MAX_UNANSWERED {
             return Err(ConnectionEnd::ClientProtocolError(""));
         }
-        self.last_request_at = Instant::now();
-        self.monitor
-            .pending
-            .extend((0..request_count).map(|_| PendingRequest {
-                sent_at: Instant::now(),
-                is_keepalive: false,
-            }));
-        let message: Vec<u8> = client_connection.unforwarded.drain(..consumed).collect();
+        let framed = client_connection.unforwarded.drain(..consumed).collect();
+        let message = self.message_hold.add(framed, boundary);
         self.write_to_server(&[&message]);
-        Ok(())
-    }
-
-    /// Sends a keepalive between two messages if nothing was sent for the idle interval. Otherwise
-    /// an unresponsive server with an idle client would not be detected.
-    fn send_keepalive(&mut self) {
-        let Some(keepalive) = self.client.keepalive else {
-            return;
-        };
-        let is_idle = self.last_request_at.elapsed() >= keepalive.idle_interval
-            && self.monitor.pending.is_empty();
-        if !is_idle || !self.client.framer.is_at_boundary() {
-            return;
+        let now = Instant::now();
+        for _ in 0..request_count {
+            self.monitor.liveness.on_request(now, false);
         }
-        self.last_request_at = Instant::now();
-        self.monitor.pending.push_back(PendingRequest {
-            sent_at: Instant::now(),
-            is_keepalive: true,
-        });
-        self.write_to_server(&[keepalive.request]);
+        Ok(())
     }
 
     /// Relays what the server sent, up to the last complete message. A pending migration is written
@@ -303,10 +279,13 @@
         bytes: &[u8],
         migration_message: &[u8],
     ) -> Result<(), ConnectionEnd> {
-        self.monitor.received_at = Instant::now();
-        if self.unforwarded.is_empty() && self.framer.is_at_boundary() {
-            self.monitor.message_started_at = self.monitor.received_at;
+        let now = Instant::now();
+        self.monitor.received_at = now;
+        let is_mid_message = !self.unforwarded.is_empty() || !self.framer.is_at_boundary();
+        if !is_mid_message {
+            self.monitor.message_started_at = now;
         }
+        self.monitor.liveness.on_received(now);
         self.unforwarded.extend_from_slice(bytes);
         // A message in the same bytes as the migration request has begun; the migration waits for
         // its end.
--- a/crates/balancer/src/connections/relay/client.rs
+++ b/crates/balancer/src/connections/relay/client.rs
@@ -8,7 +8,7 @@
 use super::READ_CHUNK_BYTES;
 use crate::attempt::WaitingClient;
 use crate::connections::lingering::LingeringClose;
-use crate::front::{Framer, Front, Keepalive};
+use crate::front::{Framer, Front};
 use crate::net::{self, ReadError, WriteBuffer};
 
 /// A client's connection with its buffers.
@@ -20,7 +20,6 @@
     /// Bytes that the client has not received yet.
     pub(super) outgoing: WriteBuffer,
     max_early_bytes: usize,
-    pub(super) keepalive: Option<Keepalive>,
     /// Whether the final message to the client has been written.
     pub(super) has_final_message: bool,
     /// Set by the owner to abandon an attempt in flight.
@@ -55,11 +54,7 @@
 impl ClientConnection {
     /// Creates a connection whose handshake is complete; `early` are the bytes after it.
     pub fn new<F: Front>(front: &F, client: TcpStream, early: Vec<u8>) -> ClientConnection {
-        let (framer, max_early_bytes, keepalive) = (
-            front.client_framer(),
-            front.max_early_bytes(),
-            front.keepalive(),
-        );
+        let (framer, max_early_bytes) = (front.client_framer(), front.max_early_bytes());
         let outgoing = WriteBuffer::default();
         let is_abandoned = Arc::default();
         ClientConnection {
@@ -68,7 +63,6 @@
             unforwarded: early,
             outgoing,
             max_early_bytes,
-            keepalive,
             has_final_message: false,
             is_abandoned,
         }
--- a/crates/balancer/src/connections/relay/ending.rs
+++ b/crates/balancer/src/connections/relay/ending.rs
@@ -82,9 +82,11 @@
         Some((self.client.close_with(b""), server))
     }
 
-    /// Shuts down the write side to a server whose client has half-closed.
+    /// Shuts down the write side to a server whose client has half-closed, after what the client
+    /// sent of its last message.
     pub fn shutdown_server_write(&mut self) {
-        self.flush(Side::Server);
+        let incomplete = self.message_hold.take();
+        self.write_to_server(&[&incomplete]);
         net::shutdown_write(&self.server);
     }
 }
--- a/crates/balancer/src/connections/relay/monitor.rs
+++ b/crates/balancer/src/connections/relay/monitor.rs
@@ -1,27 +1,21 @@
 //! Observation of the server: unanswered messages, latencies and announced ends.
 
-use std::collections::VecDeque;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use beaconflow_policy::ConnectionMetric;
 
+use super::liveness::{PendingRequest, ServerLiveness};
 use crate::attempt::ConnectionEnd;
 use crate::clock::nanos;
 use crate::core::{CoreHandle, CoreInput};
 use crate::front::MessageKind;
 
-pub(super) struct PendingRequest {
-    pub(super) sent_at: Instant,
-    /// Whether the balancer sent it as a keepalive.
-    pub(super) is_keepalive: bool,
-}
-
 /// Observations of one server over one connection.
 pub(super) struct ServerMonitor {
     pub(super) core: CoreHandle,
     pub(super) id: u64,
-    /// The unanswered messages, the oldest first.
-    pub(super) pending: VecDeque<PendingRequest>,
+    /// What the server owes.
+    pub(super) liveness: ServerLiveness,
     pub(super) was_slow: bool,
     /// When the first byte of the present message arrived.
     pub(super) message_started_at: Instant,
@@ -34,25 +28,14 @@
 }
 
 impl ServerMonitor {
-    /// Age of the oldest unanswered message.
-    pub(super) fn oldest_pending_age(&self) -> Duration {
-        self.pending
-            .front()
-            .map_or(Duration::ZERO, |request| request.sent_at.elapsed())
-    }
-
     /// Evaluates a server's message; returns whether it is relayed.
     pub(super) fn on_server_message(&mut self, kind: MessageKind) -> bool {
         self.last_message = Some(kind);
         // The next message begins with the same bytes.
         let message_started_at = std::mem::replace(&mut self.message_started_at, self.received_at);
         let answered = match kind {
-            MessageKind::AnswerToAll => {
-                let oldest = self.pending.pop_front();
-                self.pending.clear();
-                oldest
-            }
-            MessageKind::AnswerToOldest => self.pending.pop_front(),
+            MessageKind::AnswerToAll => self.liveness.answer_all(),
+            MessageKind::AnswerToOldest => self.liveness.answer_oldest(),
             MessageKind::Load(load) => {
                 self.core.send(CoreInput::ConnectionMeasured {
                     id: self.id,
@@ -70,6 +53,7 @@
         let Some(PendingRequest {
             sent_at,
             is_keepalive,
+            ..
         }) = answered
         else {
             return true;
--- a/crates/balancer/src/front/mod.rs
+++ b/crates/balancer/src/front/mod.rs
@@ -116,18 +116,13 @@
     /// A framer for what servers send on an established connection.
     fn server_framer(&self) -> Box<dyn Framer>;
 
-    /// The keepalive for established connections, if the protocol has one.
-    fn keepalive(&self) -> Option<Keepalive> {
-        None
-    }
-
     /// The probe for a server's load, if the protocol has one.
     fn load_probe(&self) -> Option<LoadProbe> {
         None
     }
 
-    /// A server that leaves a message unanswered for this long is unresponsive.
-    fn response_timeout(&self) -> Duration;
+    /// How long servers may leave clients without an answer, at present.
+    fn response_limits(&self) -> ResponseLimits;
 }
 
 /// The request for the core and the handshake for the server, or the rejection of a client.
@@ -236,12 +231,21 @@
     fn is_at_boundary(&self) -> bool;
 }
 
+/// How long servers may leave clients without an answer.
+#[derive(Clone, Copy, Debug)]
+pub struct ResponseLimits {
+    /// A server that leaves a message unanswered for this long is unresponsive.
+    pub response_timeout: Duration,
+    /// The keepalive for established connections, if the protocol has one.
+    pub keepalive: Option<Keepalive>,
+}
+
 /// A protocol's keepalive.
 #[derive(Clone, Copy, Debug)]
 pub struct Keepalive {
     /// The message, written between two others.
     pub request: &'static [u8],
-    /// Sent after this long without another message.
+    /// Sent if the server has not been asked for this long.
     pub idle_interval: Duration,
 }
 
--- a/crates/balancer/src/front/nats/mod.rs
+++ b/crates/balancer/src/front/nats/mod.rs
@@ -30,6 +30,7 @@
 use self::tenants::{Tenant, TenantSlot, Tenants};
 use super::{
     Admission, ClientMessage, Framer, Front, HandshakeError, HandshakeLine, Keepalive, Rejection,
+    ResponseLimits,
 };
 use crate::attempt::{AttemptError, ServerAnswer, ServerExchange};
 use crate::core::ClientRequest;
@@ -353,14 +354,13 @@
         Box::new(ServerFramer::default())
     }
 
-    fn keepalive(&self) -> Option<Keepalive> {
-        Some(Keepalive {
-            request: b"PING\r\n",
-            idle_interval: self.limits.keepalive_interval(),
-        })
-    }
-
-    fn response_timeout(&self) -> Duration {
-        self.limits.response_timeout()
+    fn response_limits(&self) -> ResponseLimits {
+        ResponseLimits {
+            response_timeout: self.limits.response_timeout(),
+            keepalive: Some(Keepalive {
+                request: b"PING\r\n",
+                idle_interval: self.limits.keepalive_interval(),
+            }),
+        }
     }
 }
--- a/crates/balancer/src/front/platform.rs
+++ b/crates/balancer/src/front/platform.rs
@@ -11,7 +11,9 @@
 use beaconflow_policy::ProbeAnswer;
 use beaconflow_settings::digest;
 
-use super::{ClientMessage, Framer, Front, HandshakeError, HandshakeLine, Rejection};
+use super::{
+    ClientMessage, Framer, Front, HandshakeError, HandshakeLine, Rejection, ResponseLimits,
+};
 use crate::attempt::{AttemptError, ServerAnswer, ServerExchange};
 use crate::config::SharedSettings;
 use crate::core::ClientRequest;
@@ -301,8 +303,11 @@
         Box::new(LineFramer::default())
     }
 
-    fn response_timeout(&self) -> Duration {
-        RESPONSE_TIMEOUT
+    fn response_limits(&self) -> ResponseLimits {
+        ResponseLimits {
+            response_timeout: RESPONSE_TIMEOUT,
+            keepalive: None,
+        }
     }
 }
 
--- a/crates/balancer/src/net.rs
+++ b/crates/balancer/src/net.rs
@@ -83,6 +83,12 @@
     stream.set_nonblocking(true)
 }
 
+/// Limits what the system buffers of what is written. Without a limit it adapts to the connection.
+pub fn limit_send_buffer(stream: &TcpStream, bytes: usize) {
+    // The system's own limit stays if this fails.
+    let _ = SockRef::from(stream).set_send_buffer_size(bytes);
+}
+
 /// Waits until one of the streams is ready or the time is over; returns which ones are. A closed
 /// stream or an error counts as ready. A stream without wanted events is left out, since it would
 /// end every wait once it is closed.
--- a/crates/balancer/src/net/buffers.rs
+++ b/crates/balancer/src/net/buffers.rs
@@ -120,6 +120,8 @@
 #[derive(Default)]
 pub struct WriteBuffer {
     bytes: Vec<u8>,
+    /// Number of bytes that the system has taken.
+    taken_count: u64,
     /// Bytes of the peer discarded since its final message.
     discarded: usize,
     /// Whether the peer has closed its write side since its final message.
@@ -132,6 +134,11 @@
         self.bytes.is_empty()
     }
 
+    /// Number of bytes that have been sent.
+    pub fn taken_count(&self) -> u64 {
+        self.taken_count
+    }
+
     /// Writes what can be written now and buffers the rest.
     ///
     /// # Errors
@@ -141,11 +148,16 @@
         let mut written = 0;
         if self.bytes.is_empty() {
             match write_gathered(stream, buffers) {
-                Ok(()) => return Ok(()),
+                Ok(()) => {
+                    let count: usize = buffers.iter().map(|buffer| buffer.len()).sum();
+                    self.taken_count += count as u64;
+                    return Ok(());
+                }
                 Err((count, error)) if is_would_block(&error) => written = count,
                 Err((_, error)) => return Err(error),
             }
         }
+        self.taken_count += written as u64;
         for buffer in buffers {
             let skipped = written.min(buffer.len());
             written -= skipped;
--- /dev/null
+++ b/crates/cli/tests/silent_servers.rs
@@ -0,0 +1,164 @@
+//! Servers that return nothing, late or little, beneath clients of every habit.
+//!
+//! A connection that returns nothing from a running server is moved or ended within 7 s, and 50 ms
+//! for a time limit on sockets. A connection of a sound server is not.
+
+mod support;
+
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use support::scripted_nats::*;
+
+/// The limits of the sample file.
+const WIRE: &str = "ping_after_ms = 2000, silence_ms = 3000";
+/// Each time limit on sockets is this much longer.
+const SOCKET_ALLOWANCE: Duration = Duration::from_millis(50);
+/// Within this time a connection that returns nothing is moved or ended.
+const MAX_SILENCE: Duration = Duration::from_secs(7).saturating_add(SOCKET_ALLOWANCE);
+/// Servers are silent or late for this long.
+const TROUBLE: Duration = Duration::from_secs(13);
+/// Clients follow their habit for this long before the trouble.
+const WARM_UP: Duration = Duration::from_millis(1_500);
+
+/// How long one client's connection lasted in a server's trouble.
+struct Outcome {
+    habit: ClientHabit,
+    /// `None` if it was held to the end.
+    lasted: Option<Duration>,
+    was_moved: bool,
+}
+
+type RunningClient = (ClientHabit, JoinHandle<Option<ConnectionClose>>);
+
+/// Has a client of each habit connect and follow it until the deadline.
+fn start_clients(site: &ScriptedSite, deadline: Instant) -> Vec<RunningClient> {
+    let start_client = |(number, habit)| {
+        let client = site.client(&format!("client-{number}"));
+        let run = move || follow_habit(client, habit, deadline);
+        (habit, std::thread::spawn(run))
+    };
+    HABITS.into_iter().enumerate().map(start_client).collect()
+}
+
+/// Waits for all clients; prints and returns how long each connection lasted in the trouble.
+fn finish_clients(clients: Vec<RunningClient>, began_at: Instant, trouble: &str) -> Vec<Outcome> {
+    let outcome = |(habit, client): RunningClient| {
+        let close = client.join().expect("the client ends");
+        let lasted = close
+            .as_ref()
+            .map(|close| close.at.saturating_duration_since(began_at));
+        let was_moved = close.is_some_and(|close| close.was_moved);
+        println!("{trouble}, {habit:?}: lasted {lasted:?}, moved {was_moved}");
+        Outcome {
+            habit,
+            lasted,
+            was_moved,
+        }
+    };
+    clients.into_iter().map(outcome).collect()
+}
+
+/// Has clients of all habits connect, sets a server's mode for the length of the trouble, and
+/// returns how long each connection lasted from then on.
+fn play(site: &ScriptedSite, mode: ServerMode) -> Vec<Outcome> {
+    let server = &site.servers[0];
+    server.set_mode(ServerMode::Serve);
+    let deadline = Instant::now() + WARM_UP + TROUBLE;
+    let clients = start_clients(site, deadline);
+    std::thread::sleep(WARM_UP);
+    let began_at = Instant::now();
+    server.set_mode(mode);
+    finish_clients(clients, began_at, &format!("{mode:?}"))
+}
+
+fn assert_all_moved_within(outcomes: &[Outcome], bound: Duration) {
+    for Outcome {
+        habit,
+        lasted,
+        was_moved,
+    } in outcomes
+    {
+        assert!(
+            lasted.is_some_and(|lasted| lasted <= bound),
+            "{habit:?}: {lasted:?}"
+        );
+        assert!(was_moved, "{habit:?} was not asked to reconnect");
+    }
+}
+
+fn assert_all_held(outcomes: &[Outcome]) {
+    for Outcome { habit, lasted, .. } in outcomes {
+        assert_eq!(*lasted, None, "{habit:?} was cut off from a sound server");
+    }
+}
+
+/// Guards against clients that send without asking being held on a silent server to its end.
+#[test]
+fn clients_of_silent_server_are_moved_whatever_they_send() {
+    let site = ScriptedSite::start("silent-any-client", WIRE, 1);
+    assert_all_moved_within(&play(&site, ServerMode::Silent), MAX_SILENCE);
+}
+
+/// Guards against clients being held on a server that no longer reads what they send.
+#[test]
+fn clients_of_server_that_stops_reading_are_moved_whatever_they_send() {
+    let site = ScriptedSite::start("stopped-any-client", WIRE, 1);
+    assert_all_moved_within(&play(&site, ServerMode::Stopped), MAX_SILENCE);
+}
+
+/// Guards against sound servers being judged by what their clients send.
+#[test]
+fn clients_of_sound_server_are_held_whatever_they_send() {
+    let site = ScriptedSite::start("sound-any-client", WIRE, 1);
+    assert_all_held(&play(&site, ServerMode::Serve));
+}
+
+/// Guards against a server that answers late but in time being taken for a silent one.
+#[test]
+fn clients_of_server_that_answers_in_time_are_held() {
+    let site = ScriptedSite::start("late-answers", WIRE, 1);
+    let delay = Duration::from_millis(2_700);
+    assert_all_held(&play(&site, ServerMode::AnswerAfter(delay)));
+}
+
+/// Guards against a server that answers no PING being held for what else it sends. It returns
+/// something, so that no page bounds the time. Behind much data an answer may be 10 s late.
+#[test]
+fn clients_of_server_without_pong_are_moved_despite_its_lines() {
+    let site = ScriptedSite::start("lines-only", WIRE, 1);
+    let interval = Duration::from_millis(400);
+    let (bulk, others): (Vec<Outcome>, Vec<Outcome>) = play(&site, ServerMode::LinesOnly(interval))
+        .into_iter()
+        .partition(|outcome| outcome.habit.sends_bulk());
+    assert_all_moved_within(&others, MAX_SILENCE);
+    assert_all_moved_within(&bulk, Duration::from_secs(12) + SOCKET_ALLOWANCE);
+}
+
+/// Guards against a server that goes on at 6.9 s deciding whether its clients are moved in time.
+#[test]
+fn clients_of_server_that_goes_on_late_are_moved_before() {
+    let site = ScriptedSite::start("goes-on-late", WIRE, 1);
+    let server = &site.servers[0];
+    let deadline = Instant::now() + WARM_UP + TROUBLE;
+    let clients = start_clients(&site, deadline);
+    std::thread::sleep(WARM_UP);
+    let began_at = Instant::now();
+    server.set_mode(ServerMode::Stopped);
+    std::thread::sleep(Duration::from_millis(6_900));
+    server.set_mode(ServerMode::Serve);
+    let outcomes = finish_clients(clients, began_at, "stopped for 6.9 s");
+    assert_all_moved_within(&outcomes, Duration::from_millis(6_900));
+}
+
+/// Guards against a server that reads slowly being cut off: its PONG waits behind what was sent.
+#[test]
+fn pong_behind_full_buffer_is_late_and_not_missing() {
+    let site = ScriptedSite::start("full-buffer", WIRE, 1);
+    let server = &site.servers[0];
+    let client = site.client("publisher");
+    server.set_mode(ServerMode::ReadSlowly(400_000));
+    let deadline = Instant::now() + TROUBLE;
+    let close = follow_habit(client, ClientHabit::PublishMegabyte, deadline);
+    assert!(close.is_none(), "{close:?}");
+}
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -10,6 +10,7 @@
 pub mod nats;
 pub mod peer;
 pub mod program;
+pub mod scripted_nats;
 pub mod site;
 
 use beaconflow_fault_injection::ReservedAddress;
--- a/crates/cli/tests/support/nats.rs
+++ b/crates/cli/tests/support/nats.rs
@@ -259,7 +259,7 @@
 }
 
 /// Reads a control line, with its payload where it has one.
-fn read_message(from: &mut impl BufRead) -> Option<String> {
+pub fn read_message(from: &mut impl BufRead) -> Option<String> {
     let mut line = String::new();
     if from.read_line(&mut line).ok()? == 0 {
         return None;
