Relay: time in which a server's answer can't be read no longer counts

What callers saw: connections of sound servers were cut off. A client that took nothing for 4.3 s with a PONG owed, one whose PONG came behind a message that took 8 s, and clients whose balancer was suspended together with the servers.

Cause: an answer was missing 3 s after the request by the wall clock, also while the server was not read, while it was sending another message first, or while nothing ran at all.

Fix: each server has a clock that stands still meanwhile. The bytes that wait are looked for, so that a server that has sent nothing is judged also while its client takes nothing; a trickle excuses 1 ms a byte.

--- a/crates/balancer/src/connections/relay.rs
+++ b/crates/balancer/src/connections/relay.rs
@@ -285,7 +285,9 @@
         if !is_mid_message {
             self.monitor.message_started_at = now;
         }
-        self.monitor.liveness.on_received(now);
+        self.monitor
+            .liveness
+            .on_received(now, bytes.len(), is_mid_message);
         self.unforwarded.extend_from_slice(bytes);
         // A message in the same bytes as the migration request has begun; the migration waits for
         // its end.
--- a/crates/balancer/src/connections/relay/liveness.rs
+++ b/crates/balancer/src/connections/relay/liveness.rs
@@ -2,7 +2,7 @@
 //!
 //! A server is asked by its client's requests and, where the protocol has one, by keepalives. It is
 //! unresponsive once a request has been unanswered for the response timeout. What it is merely sent
-//! says nothing of it.
+//! says nothing of it. Time in which an answer could not be read does not count.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -18,6 +18,10 @@
 const BULK_BYTES: u64 = 64 * 1024;
 /// Such an answer is missing after this time, also if the server returns other messages.
 const MAX_BULK_RESPONSE_TIME: Duration = Duration::from_secs(10);
+/// A longer gap between two ticks means that this process was suspended.
+const SUSPENSION_GAP: Duration = Duration::from_secs(1);
+/// The time that a message of the server takes is excluded as far as it arrives at this rate.
+const MIN_TRANSFER_BYTES_PER_MS: u64 = 1;
 
 /// A message to the server that it has to answer.
 pub(super) struct PendingRequest {
@@ -43,10 +47,12 @@
 pub(super) struct ServerLiveness {
     /// The unanswered requests, the oldest first.
     pending: VecDeque<PendingRequest>,
-    /// Origin of the server's clock.
+    /// Origin of the server's clock, which stands still while no answer can be read.
     started_at: Instant,
     /// Time of the server's clock at its origin.
     initial_time: Duration,
+    /// Time for which the server's clock has stood still.
+    excluded: Duration,
     ticked_at: Instant,
     /// When the server last sent a byte, in time of its clock.
     heard_at: Duration,
@@ -72,6 +78,7 @@
             pending: (0..unanswered.count).map(request).collect(),
             started_at: now,
             initial_time: unanswered.age,
+            excluded: Duration::ZERO,
             ticked_at: now,
             heard_at: unanswered.age,
             asked_at: unanswered.age,
@@ -83,14 +90,30 @@
     /// Time of the server's clock.
     fn time(&self, now: Instant) -> Duration {
         let since_start = now.saturating_duration_since(self.started_at);
-        self.initial_time + since_start
+        (self.initial_time + since_start).saturating_sub(self.excluded)
     }
 
-    /// Records a tick; returns the time since the last one.
-    pub(super) fn on_tick(&mut self, now: Instant) -> Duration {
+    /// Sets the server's clock back.
+    fn exclude(&mut self, now: Instant, span: Duration) {
+        self.excluded += span;
+        let time = self.time(now);
+        self.heard_at = self.heard_at.min(time);
+        self.asked_at = self.asked_at.min(time);
+        for request in &mut self.pending {
+            request.asked_at = request.asked_at.min(time);
+        }
+    }
+
+    /// Records the time between two ticks and returns it, or zero if this process was suspended.
+    /// `has_unread` says that the client takes nothing while bytes of the server wait to be read.
+    pub(super) fn on_tick(&mut self, now: Instant, has_unread: bool) -> Duration {
         let gap = now.saturating_duration_since(self.ticked_at);
+        let was_suspended = gap > SUSPENSION_GAP;
         self.ticked_at = now;
-        gap
+        if has_unread || was_suspended {
+            self.exclude(now, gap);
+        }
+        if was_suspended { Duration::ZERO } else { gap }
     }
 
     /// Records a request that the server has to answer.
@@ -109,8 +132,14 @@
         self.sent_bytes += bytes as u64;
     }
 
-    /// Records that the server sent bytes.
-    pub(super) fn on_received(&mut self, now: Instant) {
+    /// Records that the server sent bytes; `is_mid_message` says that they continue a message.
+    /// Answers come behind that message, so the time that its transfer takes does not count.
+    pub(super) fn on_received(&mut self, now: Instant, bytes: usize, is_mid_message: bool) {
+        if is_mid_message {
+            let gap = self.time(now).saturating_sub(self.heard_at);
+            let transfer_time = Duration::from_millis(bytes as u64 / MIN_TRANSFER_BYTES_PER_MS);
+            self.exclude(now, gap.min(transfer_time));
+        }
         self.heard_at = self.time(now);
     }
 
--- a/crates/balancer/src/connections/relay/liveness/tests.rs
+++ b/crates/balancer/src/connections/relay/liveness/tests.rs
@@ -27,6 +27,14 @@
         self.liveness.on_request(self.at(ms), false);
     }
 
+    fn tick_until(&mut self, ms: u64) {
+        let ticked_at = self.liveness.ticked_at - self.origin;
+        let ticks = (ticked_at.as_millis() as u64 + 100..=ms).step_by(100);
+        for tick in ticks {
+            self.liveness.on_tick(self.at(tick), false);
+        }
+    }
+
     fn left(&self, ms: u64) -> Option<u128> {
         let left = self
             .liveness
@@ -74,7 +82,7 @@
     server.liveness.on_sent(BULK_BYTES as usize);
     server.ask(1_000);
     assert_eq!(server.left(5_000), Some(1_800), "6.8 s after its last byte");
-    server.liveness.on_received(server.at(6_000));
+    server.liveness.on_received(server.at(6_000), 5, false);
     assert_eq!(
         server.left(6_000),
         Some(5_000),
@@ -98,6 +106,39 @@
     assert_eq!(left(6_000, false), None);
 }
 
+#[test]
+fn time_in_which_no_answer_is_read_does_not_count() {
+    let mut server = Fixture::new();
+    server.ask(0);
+    server.tick_until(1_000);
+    // The process is suspended for ten seconds; what arrived meanwhile is read before the next tick.
+    server.ask(11_000);
+    server.liveness.on_tick(server.at(11_000), false);
+    assert_eq!(server.left(11_000), Some(2_000));
+    server.liveness.answer_oldest();
+    assert_eq!(server.left(11_000), Some(3_000));
+    // The client takes nothing while bytes of the server wait.
+    server.liveness.on_tick(server.at(11_500), true);
+    assert_eq!(server.left(11_500), Some(3_000));
+    // A thread that is held up for half a second was not suspended.
+    server.liveness.on_tick(server.at(12_000), false);
+    assert_eq!(server.left(12_000), Some(2_500));
+}
+
+#[test]
+fn transfer_of_message_does_not_count_beyond_a_trickle() {
+    let mut server = Fixture::new();
+    server.ask(0);
+    server.liveness.on_received(server.at(1_000), 4_096, false);
+    for ms in (1_100..=9_000).step_by(100) {
+        server.liveness.on_received(server.at(ms), 4_096, true);
+    }
+    assert_eq!(server.left(9_000), Some(2_000));
+    // Five bytes in a second excuse 5 ms.
+    server.liveness.on_received(server.at(10_000), 5, true);
+    assert_eq!(server.left(10_000), Some(1_005));
+}
+
 #[test]
 fn unanswered_requests_keep_their_age_in_another_process() {
     let mut former = Fixture::new();
--- a/crates/balancer/src/connections/relay/supervision.rs
+++ b/crates/balancer/src/connections/relay/supervision.rs
@@ -32,7 +32,8 @@
             // The client is not polled while the server takes nothing.
             return Err(ConnectionEnd::ClientReset);
         }
-        let gap = self.monitor.liveness.on_tick(Instant::now());
+        let has_unread = !self.client.outgoing.is_empty() && self.has_unread();
+        let gap = self.monitor.liveness.on_tick(Instant::now(), has_unread);
         let is_keepalive_blocked = self.send_keepalive(limits);
         self.check_write_stalls(gap)?;
         let next_check = self.check_server(limits, is_keepalive_blocked, migration_message)?;
--- a/crates/cli/tests/silent_servers.rs
+++ b/crates/cli/tests/silent_servers.rs
@@ -151,6 +151,51 @@
     assert_all_moved_within(&outcomes, Duration::from_millis(6_900));
 }
 
+/// Guards against a server being judged by what its client has not taken: it isn't read meanwhile.
+#[test]
+fn client_that_takes_nothing_for_a_while_keeps_its_sound_server() {
+    let site = ScriptedSite::start("client-takes-nothing", WIRE, 1);
+    let mut client = site.client("reader");
+    client.send("SUB t 1\r\n");
+    let message = [b"MSG t 1 100000\r\n", &vec![b'x'; 100_000][..], b"\r\n"].concat();
+    std::thread::scope(|scope| {
+        // More than the buffers between server and client hold.
+        scope.spawn(|| (0..160).for_each(|_| site.servers[0].send_to_all(&message)));
+        std::thread::sleep(Duration::from_millis(200));
+        client.send("PING\r\n");
+        std::thread::sleep(Duration::from_millis(4_300));
+        let asked_at = Instant::now();
+        let lines = std::iter::from_fn(|| client.read_line());
+        let pong = lines
+            .take_while(|line| !line.starts_with("INFO"))
+            .find(|line| line == "PONG");
+        assert!(
+            pong.is_some(),
+            "the client was cut off from its sound server"
+        );
+        println!("the PONG came after {:?} of reading", asked_at.elapsed());
+    });
+}
+
+/// Guards against a PONG behind a large message that arrives slowly counting as missing.
+#[test]
+fn pong_behind_large_message_is_late_and_not_missing() {
+    let site = ScriptedSite::start("large-message", WIRE, 1);
+    let server = &site.servers[0];
+    let mut client = site.client("reader");
+    server.set_mode(ServerMode::Silent);
+    client.send("PING\r\n");
+    server.send_to_all(b"MSG t 1 800000\r\n");
+    for _ in 0..80 {
+        std::thread::sleep(Duration::from_millis(100));
+        server.send_to_all(&[b'x'; 10_000]);
+    }
+    server.send_to_all(b"\r\nPONG\r\n");
+    client.expect_line("MSG t 1 800000");
+    client.read_text(800_002);
+    client.expect_line("PONG");
+}
+
 /// Guards against a server that reads slowly being cut off: its PONG waits behind what was sent.
 #[test]
 fn pong_behind_full_buffer_is_late_and_not_missing() {
@@ -162,3 +207,25 @@
     let close = follow_habit(client, ClientHabit::PublishMegabyte, deadline);
     assert!(close.is_none(), "{close:?}");
 }
+
+/// Guards against the time for which the balancer, or the whole machine, was suspended being counted
+/// against servers.
+#[test]
+fn clients_are_held_when_process_was_suspended() {
+    let site = ScriptedSite::start("suspended", WIRE, 1);
+    let server = &site.servers[0];
+    let deadline = Instant::now() + WARM_UP + TROUBLE;
+    let clients = start_clients(&site, deadline);
+    std::thread::sleep(WARM_UP);
+    let began_at = Instant::now();
+    // The servers are suspended a little before the balancer and go on a little later, so that they
+    // owe answers when it is.
+    server.set_mode(ServerMode::Stopped);
+    std::thread::sleep(Duration::from_millis(600));
+    site.program.signal("STOP");
+    std::thread::sleep(Duration::from_secs(6));
+    site.program.signal("CONT");
+    std::thread::sleep(Duration::from_millis(500));
+    server.set_mode(ServerMode::Serve);
+    assert_all_held(&finish_clients(clients, began_at, "suspended for 6 s"));
+}
