Handover: what a server owes is owed still at the next process

What callers saw: a platform client that had sent a line to a silent server was held there without a bound once its process was replaced; one that sends a line every 2 s was moved 3 s after its next line.

Cause: the sockets and the request line were handed over, the unanswered lines were not, so the new process took nothing for owed.

Fix: the message of a handover has a third line with the number and the age of unanswered requests, where there are any. Without any it is as before.

--- a/crates/balancer/src/connections/event_loop/connection.rs
+++ b/crates/balancer/src/connections/event_loop/connection.rs
@@ -11,11 +11,10 @@
 use crate::attempt::{AttemptError, ConnectionEnd, ServerAnswer, WaitingClient};
 use crate::connections::connect::EstablishedServer;
 use crate::connections::lingering::LingeringClose;
-use crate::connections::relay::{
-    ClientConnection, EstablishedConnection, Side, TICK_INTERVAL, UnansweredRequests,
-};
+use crate::connections::relay::{ClientConnection, EstablishedConnection, Side, TICK_INTERVAL};
 use crate::core::{ConnectionCommand, ConnectionSlot, CoreInput, Endpoint};
 use crate::front::{ClientMessage, Front};
+use crate::handover::UnansweredRequests;
 use crate::net::ReadError;
 use crate::poller::{EventFlags, Poller};
 
--- a/crates/balancer/src/connections/event_loop/handover.rs
+++ b/crates/balancer/src/connections/event_loop/handover.rs
@@ -9,7 +9,7 @@
 use super::run::EventLoop;
 use super::{Admitted, FrontContext, TakenOverConnection};
 use crate::attempt::{AttemptError, ConnectionEnd};
-use crate::connections::relay::{ClientConnection, EstablishedConnection, UnansweredRequests};
+use crate::connections::relay::{ClientConnection, EstablishedConnection};
 use crate::core::{ClientRequest, CommandSender};
 use crate::front::Front;
 use crate::handover::{HandoverSender, TransferredConnection};
@@ -59,7 +59,8 @@
             return;
         }
         connection.polled_events = (no_events, no_events);
-        let sent = sender.send((client, server), server_name, line);
+        let unanswered = established.unanswered_requests();
+        let sent = sender.send((client, server), server_name, line, unanswered);
         self.on_handover_sent(id, sent);
     }
 
@@ -96,6 +97,7 @@
             client,
             server,
             server_name,
+            unanswered,
             ..
         } = transferred;
         let FrontContext {
@@ -118,7 +120,7 @@
             server,
             (core, id),
             held_bytes,
-            UnansweredRequests::default(),
+            unanswered,
         );
         let state = ConnectionState::Established(Box::new(established));
         self.insert(id, Some(server_handshake), (state, Some(server_name)), slot);
--- a/crates/balancer/src/connections/relay/liveness.rs
+++ b/crates/balancer/src/connections/relay/liveness.rs
@@ -9,6 +9,7 @@
 
 use super::TICK_INTERVAL;
 use crate::front::Keepalive;
+use crate::handover::UnansweredRequests;
 
 /// A server that returns nothing for this long is unresponsive, also if its answer is queued behind
 /// much data or if it can't be asked. The platform allows 7 s.
@@ -34,15 +35,6 @@
     offset: u64,
 }
 
-/// Unanswered requests of a connection that is handed over to another process.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct UnansweredRequests {
-    /// Number of requests.
-    pub count: usize,
-    /// Age of the oldest one.
-    pub age: Duration,
-}
-
 /// What one server owes on one connection.
 pub(super) struct ServerLiveness {
     /// The unanswered requests, the oldest first.
--- a/crates/balancer/src/handover.rs
+++ b/crates/balancer/src/handover.rs
@@ -1,5 +1,5 @@
-//! Handover of established connections to the process that replaces this one: two sockets and the
-//! client's request line are passed on. Client and server do not notice.
+//! Handover of established connections to the process that replaces this one: two sockets, the
+//! client's request line and what the server owes are passed on. Client and server do not notice.
 //!
 //! The processes connect through a Unix socket in `$TMPDIR`, which each new process replaces by its
 //! own. A process that finds no socket or its own one migrates its clients instead.
@@ -31,11 +31,47 @@
 /// Time for which a migrated client is read before its socket is closed, short since further
 /// connections wait meanwhile.
 const MIGRATED_CLIENT_TIMEOUT: Duration = Duration::from_millis(2);
-/// Longest message: a server's name and a request line.
+/// Longest message: a server's name, a request line and what the server owes.
 const MAX_MESSAGE_BYTES: usize = 8 * 1024;
+/// Most unanswered requests that a connection is taken over with.
+const MAX_UNANSWERED: usize = 1024;
 /// Keeps message boundaries: a message arrives as a whole or not at all.
 const SOCKET_TYPE: Type = Type::SEQPACKET;
 
+/// Separates the number and the age of unanswered requests, in milliseconds.
+const UNANSWERED_SEPARATOR: char = ' ';
+
+/// The requests of a connection that its server has not answered.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UnansweredRequests {
+    /// Number of requests.
+    pub count: usize,
+    /// Age of the oldest one.
+    pub age: Duration,
+}
+
+impl UnansweredRequests {
+    /// The last line of a message. A server that owes nothing has none, as in messages of former
+    /// versions.
+    fn encode(self) -> String {
+        if self.count == 0 {
+            return String::new();
+        }
+        let age_ms = self.age.as_millis();
+        format!("\n{}{UNANSWERED_SEPARATOR}{age_ms}", self.count)
+    }
+
+    fn decode(line: &[u8]) -> Option<UnansweredRequests> {
+        let line = std::str::from_utf8(line).ok()?;
+        let (count, age_ms) = line.split_once(UNANSWERED_SEPARATOR)?;
+        Some(UnansweredRequests {
+            // An untrusted number must not make this process reserve memory.
+            count: count.parse::<usize>().ok()?.min(MAX_UNANSWERED),
+            age: Duration::from_millis(age_ms.parse().ok()?),
+        })
+    }
+}
+
 /// A connection received from another process.
 pub struct TransferredConnection {
     /// The client's socket.
@@ -46,6 +82,8 @@
     pub server_name: String,
     /// The client's request line.
     pub request_line: Vec<u8>,
+    /// What the server owes.
+    pub unanswered: UnansweredRequests,
 }
 
 impl TransferredConnection {
@@ -144,6 +182,7 @@
         (client, server): (&TcpStream, &TcpStream),
         server_name: &str,
         request_line: &[u8],
+        unanswered: UnansweredRequests,
     ) -> io::Result<()> {
         let mut ancillary_space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
         let mut ancillary = SendAncillaryBuffer::new(&mut ancillary_space);
@@ -151,10 +190,12 @@
         if !ancillary.push(SendAncillaryMessage::ScmRights(&sockets)) {
             return Err(io::ErrorKind::OutOfMemory.into());
         }
+        let unanswered = unanswered.encode();
         let message = [
             IoSlice::new(server_name.as_bytes()),
             IoSlice::new(b"\n"),
             IoSlice::new(request_line),
+            IoSlice::new(unanswered.as_bytes()),
         ];
         sendmsg(&self.0, &message, &mut ancillary, SendFlags::NOSIGNAL)?;
         Ok(())
@@ -213,11 +254,14 @@
     }
     bytes.truncate(received.bytes);
     let invalid = || io::Error::from(io::ErrorKind::InvalidData);
-    let end = bytes
-        .iter()
-        .position(|byte| *byte == b'\n')
-        .ok_or_else(invalid)?;
-    let server_name = String::from_utf8(bytes[..end].to_vec()).map_err(|_| invalid())?;
+    let mut lines = bytes.splitn(3, |byte| *byte == b'\n');
+    let server_name = lines.next().unwrap_or_default().to_vec();
+    let server_name = String::from_utf8(server_name).map_err(|_| invalid())?;
+    let request_line = lines.next().ok_or_else(invalid)?.to_vec();
+    let unanswered = match lines.next() {
+        Some(line) => UnansweredRequests::decode(line).ok_or_else(invalid)?,
+        None => UnansweredRequests::default(),
+    };
     let [client, server] = <[OwnedFd; 2]>::try_from(sockets).map_err(|_| invalid())?;
     let (client, server) = (TcpStream::from(client), TcpStream::from(server));
     // A sender that is not a former process may pass on sockets that block.
@@ -227,7 +271,8 @@
         client,
         server,
         server_name,
-        request_line: bytes[end + 1..].to_vec(),
+        request_line,
+        unanswered,
     }))
 }
 
--- a/crates/balancer/src/handover/tests.rs
+++ b/crates/balancer/src/handover/tests.rs
@@ -8,6 +8,11 @@
 use super::*;
 use crate::testing::connected_pair;
 
+const UNANSWERED: UnansweredRequests = UnansweredRequests {
+    count: 3,
+    age: Duration::from_millis(1_200),
+};
+
 #[test]
 fn transfers_connection_with_sockets_and_request_line() {
     let directory = tempfile::tempdir().expect("create a temporary directory");
@@ -49,7 +54,12 @@
     rustix::net::send(&sender.0, b"no line and no sockets", SendFlags::NOSIGNAL)
         .expect("send an invalid message");
     sender
-        .send((&client_socket, &server_socket), "s0", b"OPEN 01 02 c=chat")
+        .send(
+            (&client_socket, &server_socket),
+            "s0",
+            b"OPEN 01 02 c=chat",
+            UNANSWERED,
+        )
         .expect("send the connection");
     drop((client_socket, server_socket));
     let received = connections
@@ -58,9 +68,10 @@
     assert_eq!(
         (
             received.server_name.as_str(),
-            received.request_line.as_slice()
+            received.request_line.as_slice(),
+            received.unanswered
         ),
-        ("s0", b"OPEN 01 02 c=chat".as_slice())
+        ("s0", b"OPEN 01 02 c=chat".as_slice(), UNANSWERED)
     );
     client
         .write_all(b"to the server")
@@ -116,11 +127,26 @@
     let (local, remote) =
         Socket::pair(Domain::UNIX, SOCKET_TYPE, None).expect("create a socket pair");
     let ((_client_peer, client), (server, _server_peer)) = (connected_pair(), connected_pair());
-    HandoverSender(local)
-        .send((&client, &server), "s0", b"OPEN 01 02 c=chat")
-        .expect("send the connection");
-    let mut bytes = [0; 64];
-    let (count, _) =
-        rustix::net::recv(&remote, &mut bytes, RecvFlags::empty()).expect("receive the message");
-    assert_eq!(&bytes[..count], b"s0\nOPEN 01 02 c=chat");
+    let sender = HandoverSender(local);
+    for (unanswered, expected) in [
+        (UnansweredRequests::default(), &b"s0\nOPEN 01 02 c=chat"[..]),
+        (UNANSWERED, b"s0\nOPEN 01 02 c=chat\n3 1200"),
+    ] {
+        sender
+            .send((&client, &server), "s0", b"OPEN 01 02 c=chat", unanswered)
+            .expect("send the connection");
+        let mut bytes = [0; 64];
+        let (count, _) = rustix::net::recv(&remote, &mut bytes, RecvFlags::empty())
+            .expect("receive the message");
+        assert_eq!(&bytes[..count], expected);
+    }
+}
+
+#[test]
+fn rejects_unanswered_requests_that_are_no_numbers() {
+    for line in [&b""[..], b"3", b"3 x", b"-1 5", b"3 5 7"] {
+        assert_eq!(UnansweredRequests::decode(line), None);
+    }
+    let many = UnansweredRequests::decode(b"99999999 5").expect("two numbers");
+    assert_eq!(many.count, MAX_UNANSWERED);
 }
--- a/crates/cli/tests/handover.rs
+++ b/crates/cli/tests/handover.rs
@@ -11,7 +11,7 @@
 use std::sync::{Arc, Barrier, Mutex};
 use std::time::{Duration, Instant};
 
-use beaconflow_balancer::handover::{HandoverAddress, HandoverSender};
+use beaconflow_balancer::handover::{HandoverAddress, HandoverSender, UnansweredRequests};
 use beaconflow_fault_injection::flood::memory_kb;
 use socket2::{Domain, SockAddr, Socket, Type};
 use support::*;
@@ -236,6 +236,46 @@
         .for_each(|client| client.expect_line("MOVE"));
 }
 
+/// Guards against a server's debt being forgotten with the process that its client had asked through: what was owed is owed
+/// still, from the time at which it was asked for.
+#[test]
+fn answer_owed_before_handover_is_owed_after_it() {
+    let server = listener();
+    let site = SharedSite::with_server("owed", &server).with_shared_folder();
+    let (old, _) = site.start();
+    let mut connections: Vec<(Peer, Peer)> = (0..2)
+        .map(|number| {
+            let mut client = site.open(&format!("owed{number}"));
+            let mut server = Peer::accept(&server);
+            server.read_line().expect("an OPEN line");
+            server.send("UP r\r\n");
+            client.expect_line("UP r");
+            (client, server)
+        })
+        .collect();
+    let (new, _) = site.start();
+    let asked_at = Instant::now();
+    for (client, server) in &mut connections {
+        client.send("line\r\n");
+        server.expect_line("line");
+    }
+    std::thread::sleep(Duration::from_millis(1_200));
+    old.signal("TERM");
+    new.wait_for_log("taken over taken=2");
+    // The second server answers in time, at the new process.
+    let (mut silent_client, _silent_server) = connections.remove(0);
+    let (mut client, mut server) = connections.remove(0);
+    std::thread::sleep(Duration::from_millis(2_800).saturating_sub(asked_at.elapsed()));
+    server.send("late\r\n");
+    client.expect_line("late");
+    silent_client.expect_line("MOVE");
+    let waited = asked_at.elapsed();
+    println!("moved {waited:?} after its line");
+    assert!(waited <= Duration::from_millis(7_050), "{waited:?}");
+    client.send("line\r\n");
+    server.expect_line("line");
+}
+
 /// Opens a request that may not be repeated.
 fn open_once(address: SocketAddr, id: &str) -> Peer {
     let mut client = Peer::connect(address);
@@ -466,7 +506,12 @@
     let (client, client_socket) = connected_pair();
     let (server, server_socket) = connected_pair();
     let sockets = (&client_socket, &server_socket);
-    while let Err(error) = sender.send(sockets, "s0", request_line.as_bytes()) {
+    while let Err(error) = sender.send(
+        sockets,
+        "s0",
+        request_line.as_bytes(),
+        UnansweredRequests::default(),
+    ) {
         assert_eq!(error.kind(), ErrorKind::WouldBlock);
         std::thread::yield_now();
     }
