NATS: limits that find silent servers within 7 s, also after a reload

What callers saw: with ping_after_ms and silence_ms of more than 7 s together the front started and held clients on a silent server for their sum. Lowering them took a restart.

Cause: nobody looked at the sum of both, a reload reported them as fixed with the rest of wire, and each connection kept the values of its start.

Evidence: reload_replaces_limits_of_established_connections and the new field in check_reports_every_error_without_quoting_secrets fail before.

Fix: more than 7000 together, or no silence_ms at all, are refused by name. The limits are read at each check, so that a reload holds for established connections too.

--- a/crates/balancer/src/front/nats/limits.rs
+++ b/crates/balancer/src/front/nats/limits.rs
@@ -1,7 +1,16 @@
 //! Limits of the NATS front, as configured by the operator.
 
+use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
+use crate::front::{Keepalive, ResponseLimits};
+
+/// Longest sum of the keepalive interval and the response timeout, in milliseconds: the time within
+/// which the platform wants a connection that returns nothing to be moved or ended.
+pub const MAX_DETECTION_MS: u64 = 7_000;
+/// The keepalive of the protocol.
+const KEEPALIVE_REQUEST: &[u8] = b"PING\r\n";
+
 /// Limits of the NATS front.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct NatsLimits {
@@ -38,15 +47,32 @@
         Duration::from_millis(self.handshake_timeout_ms)
     }
 
-    /// Idle time after which a keepalive is sent.
-    pub fn keepalive_interval(&self) -> Duration {
-        // Zero would mean no timeout.
-        Duration::from_millis(self.keepalive_interval_ms.max(1))
+    /// How long servers may leave clients without an answer.
+    pub fn response_limits(&self) -> ResponseLimits {
+        ResponseLimits {
+            response_timeout: Duration::from_millis(self.response_timeout_ms),
+            keepalive: Some(Keepalive {
+                request: KEEPALIVE_REQUEST,
+                idle_interval: Duration::from_millis(self.keepalive_interval_ms),
+            }),
+        }
+    }
+
+    /// Whether a silent server is found within the time that the platform allows.
+    pub fn is_detection_in_time(&self) -> bool {
+        self.keepalive_interval_ms
+            .saturating_add(self.response_timeout_ms)
+            <= MAX_DETECTION_MS
     }
 
-    /// A server that leaves a PING unanswered for this long is unresponsive.
-    pub fn response_timeout(&self) -> Duration {
-        Duration::from_millis(self.response_timeout_ms)
+    /// These limits with the keepalive interval and the response timeout of others.
+    #[must_use]
+    pub fn with_response_limits_of(self, other: &NatsLimits) -> NatsLimits {
+        NatsLimits {
+            keepalive_interval_ms: other.keepalive_interval_ms,
+            response_timeout_ms: other.response_timeout_ms,
+            ..self
+        }
     }
 
     /// Retry-after while the store is unavailable.
@@ -54,3 +80,24 @@
         Duration::from_millis(self.store_retry_after_ms)
     }
 }
+
+/// The response limits in effect, which a reload replaces for established connections too.
+#[derive(Clone, Debug)]
+pub struct SharedResponseLimits(Arc<RwLock<ResponseLimits>>);
+
+impl SharedResponseLimits {
+    /// Shares these limits.
+    pub fn new(limits: &NatsLimits) -> SharedResponseLimits {
+        SharedResponseLimits(Arc::new(RwLock::new(limits.response_limits())))
+    }
+
+    /// The limits in effect.
+    pub fn current(&self) -> ResponseLimits {
+        *self.0.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Replaces them.
+    pub fn replace(&self, limits: &NatsLimits) {
+        *self.0.write().unwrap_or_else(PoisonError::into_inner) = limits.response_limits();
+    }
+}
--- a/crates/balancer/src/front/nats/mod.rs
+++ b/crates/balancer/src/front/nats/mod.rs
@@ -26,10 +26,10 @@
 use serde_json::{Map, Value, json};
 
 use self::framing::{ClientFramer, MAX_CONTROL_LINE_BYTES, ServerFramer};
-use self::limits::NatsLimits;
+use self::limits::{NatsLimits, SharedResponseLimits};
 use self::tenants::{Tenant, TenantSlot, Tenants};
 use super::{
-    Admission, ClientMessage, Framer, Front, HandshakeError, HandshakeLine, Keepalive, Rejection,
+    Admission, ClientMessage, Framer, Front, HandshakeError, HandshakeLine, Rejection,
     ResponseLimits,
 };
 use crate::attempt::{AttemptError, ServerAnswer, ServerExchange};
@@ -41,6 +41,7 @@
     settings: Arc<SiteSettings>,
     tenants: Arc<Tenants>,
     limits: NatsLimits,
+    response_limits: SharedResponseLimits,
     name: String,
     /// Number of accepted clients, from which their ids follow.
     clients: AtomicU64,
@@ -83,12 +84,18 @@
         Nats {
             settings,
             tenants,
+            response_limits: SharedResponseLimits::new(&limits),
             limits,
             name,
             clients: AtomicU64::new(0),
         }
     }
 
+    /// The response limits, which a reload may replace.
+    pub fn shared_response_limits(&self) -> SharedResponseLimits {
+        self.response_limits.clone()
+    }
+
     fn info(&self, is_shutting_down: bool, client: u64) -> Vec<u8> {
         let mut info = json!({
             "server_id": self.name, "server_name": self.name, "version": env!("CARGO_PKG_VERSION"),
@@ -355,12 +362,6 @@
     }
 
     fn response_limits(&self) -> ResponseLimits {
-        ResponseLimits {
-            response_timeout: self.limits.response_timeout(),
-            keepalive: Some(Keepalive {
-                request: b"PING\r\n",
-                idle_interval: self.limits.keepalive_interval(),
-            }),
-        }
+        self.response_limits.current()
     }
 }
--- a/crates/balancer/src/operator.rs
+++ b/crates/balancer/src/operator.rs
@@ -18,7 +18,7 @@
 use crate::core::AdmissionConfig;
 use crate::discovery::{ListedServer, ServerLifecycle, ServerList};
 use crate::front::nats::framing::MAX_CONTROL_LINE_BYTES;
-use crate::front::nats::limits::NatsLimits;
+use crate::front::nats::limits::{MAX_DETECTION_MS, NatsLimits};
 use crate::log::LogFormat;
 use crate::overrides;
 use admission::admission;
@@ -249,6 +249,13 @@
         wire.max_early_bytes < MAX_CONTROL_LINE_BYTES,
         "is less than the maximum length of a control line",
     );
+    section.error_if(
+        "silence_ms",
+        wire.response_timeout_ms == 0,
+        "must be at least 1",
+    );
+    let reason = format!("is more than {MAX_DETECTION_MS} together with ping_after_ms");
+    section.error_if("silence_ms", !wire.is_detection_in_time(), &reason);
     section.reject_unknown_fields();
     wire
 }
--- a/crates/balancer/src/reload.rs
+++ b/crates/balancer/src/reload.rs
@@ -15,6 +15,7 @@
 use crate::core::{AdmissionConfig, CoreHandle, CoreInput};
 use crate::discovery::{DiscoveryAddress, DiscoveryEvent};
 use crate::fleet::FleetHandle;
+use crate::front::nats::limits::{NatsLimits, SharedResponseLimits};
 use crate::operator::{
     AffinityConfig, EdgeConfig, EndpointSource, FleetConfig, NatsConfig, OperatorConfig,
 };
@@ -52,6 +53,8 @@
         nats: Option<Box<NatsConfig>>,
         /// The address that the discovery watcher uses; `None` if the servers are in the file.
         discovery_address: Option<DiscoveryAddress>,
+        /// The response limits of the NATS front.
+        response_limits: Option<SharedResponseLimits>,
         /// The limit on file descriptors of this front.
         max_descriptors: SharedLimit,
         /// The cores of all fronts.
@@ -162,6 +165,7 @@
             config,
             nats,
             discovery_address,
+            response_limits,
             max_descriptors,
             cores,
             fleet,
@@ -200,6 +204,7 @@
         changes.apply_descriptors(max_descriptors, (nats.sockets, new_nats.sockets));
         changes.require_unchanged("name", nats.name == new_nats.name);
         changes.require_unchanged("listen", nats.listen == new_nats.listen);
+        changes.apply_response_limits(response_limits.as_ref(), &mut nats.wire, &new_nats.wire);
         changes.require_unchanged("wire", nats.wire == new_nats.wire);
         changes.require_unchanged("store", nats.store == new_nats.store);
         changes.require_unchanged("settings", nats.settings == new_nats.settings);
@@ -235,6 +240,27 @@
         }
     }
 
+    /// Applies the keepalive interval and the response timeout, also to established connections.
+    fn apply_response_limits(
+        &mut self,
+        shared: Option<&SharedResponseLimits>,
+        old: &mut NatsLimits,
+        new: &NatsLimits,
+    ) {
+        let (Some(shared), applied) = (shared, old.with_response_limits_of(new)) else {
+            return;
+        };
+        if *old == applied {
+            return;
+        }
+        shared.replace(&applied);
+        self.applied.push(format!(
+            "wire.ping_after_ms {} and wire.silence_ms {}",
+            applied.keepalive_interval_ms, applied.response_timeout_ms
+        ));
+        *old = applied;
+    }
+
     /// Applies the discovery address or the configured servers. Switching between the two needs a
     /// restart.
     fn apply_endpoints(
--- a/crates/balancer/src/serve.rs
+++ b/crates/balancer/src/serve.rs
@@ -198,6 +198,7 @@
             start_admin(admin.listen, api)?;
             spawn("overrides", move || override_manager.run())?;
         }
+        let response_limits = nats.as_ref().map(|nats| nats.response_limits.clone());
         let (discovery_address, max_descriptors) = nats
             .map(|nats| (nats.discovery_address, nats.max_descriptors))
             .unwrap_or_default();
@@ -206,6 +207,7 @@
             nats: file.nats.clone().map(Box::new),
             config: Box::new(file),
             discovery_address,
+            response_limits,
             max_descriptors,
             cores,
             fleet,
--- a/crates/balancer/src/serve/nats.rs
+++ b/crates/balancer/src/serve/nats.rs
@@ -13,6 +13,7 @@
 use crate::core::CoreConfig;
 use crate::discovery::{DiscoveryAddress, Watcher};
 use crate::front::nats::Nats;
+use crate::front::nats::limits::SharedResponseLimits;
 use crate::front::nats::tenants::Tenants;
 use crate::operator::{EndpointSource, NatsConfig};
 use crate::reload::SharedLimit;
@@ -23,6 +24,7 @@
     site: Arc<SiteSettings>,
     pub(super) discovery_address: Option<DiscoveryAddress>,
     pub(super) max_descriptors: SharedLimit,
+    pub(super) response_limits: SharedResponseLimits,
 }
 
 impl NatsState {
@@ -66,6 +68,7 @@
         Arc::clone(&tenants),
         nats.wire,
     ));
+    let response_limits = front.shared_response_limits();
     let max_descriptors = SharedLimit::new(nats.sockets.into());
     let descriptors = Descriptors::without_probes(Arc::clone(&max_descriptors), false);
     start_front(front, (listen(nats.listen)?, None), descriptors, &core)?;
@@ -81,6 +84,7 @@
         site,
         discovery_address,
         max_descriptors,
+        response_limits,
     };
     Ok((front, state))
 }
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -316,6 +316,7 @@
         .replace("listen = \"127.0.0.1:8222\"", "listen = \"0.0.0.0:8222\"")
         .replace("sockets = 4096", "sockets = -1\nsocket = 1")
         .replace("most_early = 65536", "most_early = 1")
+        .replace("silence_ms = 3000", "silence_ms = 5001")
         .replace("url = \"redis:", "url = \"http:")
         .replace("weight = 1.0 },\n]", "weight = 0.0, size = 3 },\n]")
         .replace("max-attempts = 6", "max-attempts = 0")
@@ -332,6 +333,7 @@
         "sockets",
         "socket: unknown field",
         "wire.most_early",
+        "wire.silence_ms",
         "store.url",
         "farm.servers[1].weight",
         "farm.servers[1].size",
--- a/crates/cli/tests/silent_servers.rs
+++ b/crates/cli/tests/silent_servers.rs
@@ -229,3 +229,33 @@
     server.set_mode(ServerMode::Serve);
     assert_all_held(&finish_clients(clients, began_at, "suspended for 6 s"));
 }
+
+/// Guards against limits that find a silent server too late, and against a reload that leaves
+/// established connections with the former ones.
+#[test]
+fn reload_replaces_limits_of_established_connections() {
+    let longest = "ping_after_ms = 3000, silence_ms = 4000";
+    let site = ScriptedSite::start("reload-limits", longest, 1);
+    let habit = ClientHabit::Publish(Duration::from_millis(200));
+    let client = site.client("publisher");
+    let reload = |wire: &str| {
+        let text = site.file_text.replace(longest, wire);
+        std::fs::write(&site.path, text).expect("configuration file is written");
+        site.program.signal("HUP");
+    };
+    reload("ping_after_ms = 3000, silence_ms = 4001");
+    let refusal = site.program.wait_for_log("current configuration kept");
+    assert!(
+        refusal.contains("wire.silence_ms: is more than 7000 together with ping_after_ms"),
+        "{refusal}"
+    );
+    reload("ping_after_ms = 500, silence_ms = 1000");
+    site.program
+        .wait_for_log("what=\"wire.ping_after_ms 500 and wire.silence_ms 1000\"");
+    site.servers[0].set_mode(ServerMode::Silent);
+    let silent_since = Instant::now();
+    let close = follow_habit(client, habit, silent_since + TROUBLE);
+    let lasted = close.expect("the client is moved").at - silent_since;
+    println!("moved after {lasted:?}");
+    assert!(lasted <= Duration::from_millis(1_550), "{lasted:?}");
+}
