--- a/crates/cli/tests/silent_servers.rs
+++ b/crates/cli/tests/silent_servers.rs
@@ -5,10 +5,13 @@
 
 mod support;
 
+use std::io::Write;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+use support::Peer;
 use support::scripted_nats::*;
+use support::site::Site as PlatformSite;
 
 /// The limits of the sample file.
 const WIRE: &str = "ping_after_ms = 2000, silence_ms = 3000";
@@ -259,3 +262,136 @@
     println!("moved after {lasted:?}");
     assert!(lasted <= Duration::from_millis(1_550), "{lasted:?}");
 }
+
+/// Guards against the supervision of servers costing busy clients their connection, and measures it.
+#[test]
+fn thousand_busy_publishers_are_held() {
+    const PUBLISHERS: usize = 1_000;
+    let site = ScriptedSite::start("thousand-publishers", WIRE, 4);
+    let mut clients: Vec<Peer> = (0..PUBLISHERS)
+        .map(|number| site.client(&format!("publisher-{number}")))
+        .collect();
+    let (began_at, cpu_before) = (Instant::now(), site.program.cpu_time());
+    for _ in 0..10 {
+        let turn_at = Instant::now();
+        for client in &mut clients {
+            client.send("PUB t 5\r\nhello\r\n");
+        }
+        std::thread::sleep(Duration::from_secs(1).saturating_sub(turn_at.elapsed()));
+    }
+    let (lasted, cpu) = (began_at.elapsed(), site.program.cpu_time() - cpu_before);
+    println!("{PUBLISHERS} publishers for {lasted:?}: {cpu:?} of processor time");
+    for client in &mut clients {
+        client.send("PING\r\n");
+        client.expect_line("PONG");
+    }
+}
+
+/// Guards against platform clients being held on a silent server for what they send to it. A client
+/// that has sent no whole line is owed nothing, and the protocol has no question of the balancer's.
+#[test]
+fn platform_clients_of_silent_server_are_moved_whatever_they_send() {
+    let site = PlatformSite::start("silent-platform", 1);
+    let habits: [(&str, &[&str], u64); 5] = [
+        ("a line each 0.9 s", &["line\r\n"], 900),
+        ("a line, then pieces", &["line\r\n", "half", " a li"], 300),
+        ("a line in pieces", &["li", "ne", "\r\n"], 300),
+        (
+            "ten lines at once",
+            &["1\r\n2\r\n3\r\n4\r\n5\r\n6\r\n7\r\n8\r\n9\r\n10\r\n"],
+            500,
+        ),
+        ("lines without a pause", &["line\r\n"], 1),
+    ];
+    std::thread::scope(|scope| {
+        for does_read in [true, false] {
+            for (name, pieces, pause_ms) in habits {
+                let (client, mut server) = site.establish_connection();
+                scope.spawn(move || {
+                    let began_at = Instant::now();
+                    let reader = client.stream.try_clone().expect("socket is open");
+                    let deadline = began_at + TROUBLE;
+                    let end = std::thread::spawn(move || read_until_end(&reader, deadline));
+                    if does_read {
+                        std::thread::spawn(move || while server.read_line_or_end().is_some() {});
+                    }
+                    let mut client = client.stream;
+                    for piece in pieces.iter().chain(&pieces[pieces.len() - 1..]).cycle() {
+                        if end.is_finished() || client.write_all(piece.as_bytes()).is_err() {
+                            break;
+                        }
+                        std::thread::sleep(Duration::from_millis(pause_ms));
+                    }
+                    let end = end.join().expect("the reader ends");
+                    let lasted = end.map(|end| end.at - began_at);
+                    println!("platform, server reads {does_read}, {name}: lasted {lasted:?}");
+                    assert!(lasted.is_some_and(|lasted| lasted <= MAX_SILENCE), "{name}");
+                });
+            }
+        }
+    });
+}
+
+/// Guards against a platform server that reports its load being taken for one that answers.
+#[test]
+fn platform_client_is_moved_when_server_sends_load_alone() {
+    let site = PlatformSite::start("load-only-platform", 1);
+    let (mut client, mut server) = site.establish_connection();
+    let asked_at = Instant::now();
+    client.send("line\r\n");
+    let loads = std::thread::spawn(move || {
+        while server.stream.write_all(b"LOAD 12.5\r\n").is_ok() {
+            std::thread::sleep(Duration::from_millis(300));
+        }
+    });
+    let last_line = std::iter::from_fn(|| client.read_line()).last();
+    println!("moved after {:?}", asked_at.elapsed());
+    assert_eq!(last_line.as_deref(), Some("MOVE"));
+    assert!(asked_at.elapsed() <= MAX_SILENCE);
+    loads.join().expect("the server's end closes");
+}
+
+/// Guards against a planned end that waits for a silent server: in the middle of a message, before
+/// its answer, or while a connection to it is being set up.
+#[test]
+fn silent_servers_do_not_delay_planned_end() {
+    let site = ScriptedSite::start("silent-drain", WIRE, 1);
+    let server = &site.servers[0];
+    let mut client = site.client("waits");
+    let mid_message = site.client("mid-message");
+    server.send_to_all(b"MSG t 1 10\r\nhello");
+    server.set_mode(ServerMode::Silent);
+    client.send("PING\r\nPUB t 10\r\nhel");
+    let mut in_set_up = Peer::connect(site.address);
+    in_set_up.read_line().expect("an INFO line");
+    in_set_up.send("CONNECT {\"user\":\"acme\",\"pass\":\"acme's own password\"}\r\nPING\r\n");
+    std::thread::sleep(Duration::from_millis(300));
+    site.program.signal("TERM");
+    let began_at = Instant::now();
+    for (name, peer) in [
+        ("asks", client),
+        ("mid-message", mid_message),
+        ("set-up", in_set_up),
+    ] {
+        let end = read_until_end(&peer.stream, began_at + TROUBLE).expect("an end");
+        let lasted = end.at.saturating_duration_since(began_at);
+        println!("planned end, {name}: {lasted:?}, moved {}", end.was_moved);
+        // The longest deadline of a request and 0.7 s.
+        assert!(lasted <= Duration::from_millis(3_750), "{name}: {lasted:?}");
+    }
+}
+
+/// Guards against a server that sends lines but no PONG holding the set-up of a connection.
+#[test]
+fn set_up_ends_in_time_at_server_that_sends_lines_alone() {
+    let site = ScriptedSite::start("lines-in-set-up", WIRE, 1);
+    site.servers[0].set_mode(ServerMode::LinesOnly(Duration::from_millis(50)));
+    let mut client = Peer::connect(site.address);
+    client.read_line().expect("an INFO line");
+    let asked_at = Instant::now();
+    client.send("CONNECT {\"user\":\"acme\",\"pass\":\"acme's own password\"}\r\nPING\r\n");
+    let answer = client.read_line().expect("a final answer");
+    println!("set-up ended after {:?}: {answer}", asked_at.elapsed());
+    assert!(answer.starts_with("-ERR '"), "{answer}");
+    assert!(asked_at.elapsed() <= Duration::from_millis(3_050));
+}
--- a/crates/cli/tests/support/program.rs
+++ b/crates/cli/tests/support/program.rs
@@ -130,6 +130,19 @@
             .count()
     }
 
+    /// Processor time that the program has used.
+    pub fn cpu_time(&self) -> Duration {
+        let path = format!("/proc/{}/stat", self.pid());
+        let stat = std::fs::read_to_string(path).expect("program is running");
+        // The fields after the name in parentheses begin with the third one; 14 and 15 are the times.
+        let (_, fields) = stat.rsplit_once(')').expect("a name in parentheses");
+        let ticks = fields.split_whitespace().skip(11).take(2);
+        let ticks: u64 = ticks
+            .map(|field| field.parse::<u64>().expect("a number"))
+            .sum();
+        Duration::from_millis(ticks * 1_000 / rustix::param::clock_ticks_per_second())
+    }
+
     /// Removes the log lines that have been written so far and returns their number.
     pub fn take_log_lines(&self) -> usize {
         self.log.try_iter().count()
