Handover: connections go only to a process that has shown that it runs

What callers saw: where the next process of an upgrade was suspended, all clients were handed over to it and heard nothing more.

Cause: a Unix socket takes connections and messages also for a process that does not run; what could be sent was taken for taken over.

Fix: the process that takes over greets each sender. A sender waits up to 0.1 s for it and hands nothing over before; its clients are migrated as where there is no next process. An older version does not greet, so that a step back to one migrates clients.

--- a/crates/balancer/src/connections/event_loop/handover.rs
+++ b/crates/balancer/src/connections/event_loop/handover.rs
@@ -18,7 +18,7 @@
 
 impl<F: Front> EventLoop<F> {
     /// Hands an established connection over to the process that replaces this one. A connection
-    /// with buffered bytes is retried until it is migrated.
+    /// with buffered bytes, or for a process that has not greeted, is retried until it is migrated.
     pub(super) fn hand_over(&mut self, id: u64) {
         let EventLoop {
             context,
@@ -43,7 +43,7 @@
         };
         let sender = handover_sender.get_or_insert_with(|| find_successor(context));
         let Some(sender) = sender else { return };
-        if !established.can_be_handed_over() {
+        if !sender.is_ready() || !established.can_be_handed_over() {
             return awaiting_handover.push(id);
         }
         let (client, server) = established.streams();
--- a/crates/balancer/src/handover.rs
+++ b/crates/balancer/src/handover.rs
@@ -2,9 +2,10 @@
 //! client's request line and what the server owes are passed on. Client and server do not notice.
 //!
 //! The processes connect through a Unix socket in `$TMPDIR`, which each new process replaces by its
-//! own. A process that finds no socket or its own one migrates its clients instead.
+//! own. A process that finds no socket, its own one or one whose process does not greet migrates its
+//! clients instead.
 
-use std::io::{self, IoSlice, IoSliceMut};
+use std::io::{self, IoSlice, IoSliceMut, Read};
 use std::mem::MaybeUninit;
 use std::net::TcpStream;
 use std::os::fd::{AsFd, OwnedFd};
@@ -35,6 +36,11 @@
 const MAX_MESSAGE_BYTES: usize = 8 * 1024;
 /// Most unanswered requests that a connection is taken over with.
 const MAX_UNANSWERED: usize = 1024;
+/// What a process that takes connections over sends first to each sender. A process that is hung or
+/// suspended accepts senders and messages too.
+const GREETING: &[u8] = b"ready";
+/// Longest wait of a sender for the greeting; the connections of all clients wait meanwhile.
+const GREETING_TIMEOUT: Duration = Duration::from_millis(100);
 /// Keeps message boundaries: a message arrives as a whole or not at all.
 const SOCKET_TYPE: Type = Type::SEQPACKET;
 
@@ -150,7 +156,8 @@
         thread_builder().spawn(accept).map(drop)
     }
 
-    /// Connects to the process that replaces this one, if there is one.
+    /// Connects to the process that replaces this one, if there is one, and waits a moment for its
+    /// greeting.
     ///
     /// # Errors
     ///
@@ -159,18 +166,42 @@
         let Some(socket) = unix_socket::connect_if_present(&self.0, SOCKET_TYPE)? else {
             return Ok(None);
         };
-        // The sender serves all clients and must not block.
-        socket.set_nonblocking(true)?;
         let peer_pid = socket_peercred(&socket)?.pid.as_raw_nonzero().get();
-        let is_own = u32::try_from(peer_pid).is_ok_and(|peer_pid| peer_pid == std::process::id());
-        Ok((!is_own).then_some(HandoverSender(socket)))
+        if u32::try_from(peer_pid).is_ok_and(|peer_pid| peer_pid == std::process::id()) {
+            return Ok(None);
+        }
+        socket.set_read_timeout(Some(GREETING_TIMEOUT))?;
+        let mut sender = HandoverSender {
+            socket,
+            is_greeted: false,
+        };
+        sender.is_ready();
+        // The sender serves all clients and must not block.
+        sender.socket.set_nonblocking(true)?;
+        Ok(Some(sender))
     }
 }
 
 /// Sends connections to the process that replaces this one.
-pub struct HandoverSender(Socket);
+pub struct HandoverSender {
+    socket: Socket,
+    /// Whether the other process has shown that it runs.
+    is_greeted: bool,
+}
 
 impl HandoverSender {
+    /// Whether the other process has shown that it takes connections over. Until then it must not be
+    /// sent any.
+    pub fn is_ready(&mut self) -> bool {
+        if !self.is_greeted {
+            let mut greeting = [0; GREETING.len()];
+            self.is_greeted = (&self.socket)
+                .read(&mut greeting)
+                .is_ok_and(|count| &greeting[..count] == GREETING);
+        }
+        self.is_greeted
+    }
+
     /// Hands a connection over. Afterwards this process may only close its sockets.
     ///
     /// # Errors
@@ -197,7 +228,7 @@
             IoSlice::new(request_line),
             IoSlice::new(unanswered.as_bytes()),
         ];
-        sendmsg(&self.0, &message, &mut ancillary, SendFlags::NOSIGNAL)?;
+        sendmsg(&self.socket, &message, &mut ancillary, SendFlags::NOSIGNAL)?;
         Ok(())
     }
 }
@@ -215,6 +246,10 @@
     warnings: &RateLimitedLog,
 ) -> usize {
     let mut count = 0;
+    if let Err(error) = sender.send(GREETING) {
+        warnings.warn(PART, "could not greet a sender", &error);
+        return count;
+    }
     loop {
         match receive_one(sender) {
             Ok(Some(transferred)) => {
--- a/crates/balancer/src/handover/tests.rs
+++ b/crates/balancer/src/handover/tests.rs
@@ -48,11 +48,19 @@
     socket
         .connect(&SockAddr::unix(&address.0).expect("the path fits into a socket address"))
         .expect("connect to the handover socket");
-    let sender = HandoverSender(socket);
+    let mut sender = HandoverSender {
+        socket,
+        is_greeted: false,
+    };
+    assert!(sender.is_ready(), "the receiver greets");
     let ((mut client, client_socket), (server_socket, mut server)) =
         (connected_pair(), connected_pair());
-    rustix::net::send(&sender.0, b"no line and no sockets", SendFlags::NOSIGNAL)
-        .expect("send an invalid message");
+    rustix::net::send(
+        &sender.socket,
+        b"no line and no sockets",
+        SendFlags::NOSIGNAL,
+    )
+    .expect("send an invalid message");
     sender
         .send(
             (&client_socket, &server_socket),
@@ -127,7 +135,10 @@
     let (local, remote) =
         Socket::pair(Domain::UNIX, SOCKET_TYPE, None).expect("create a socket pair");
     let ((_client_peer, client), (server, _server_peer)) = (connected_pair(), connected_pair());
-    let sender = HandoverSender(local);
+    let sender = HandoverSender {
+        socket: local,
+        is_greeted: true,
+    };
     for (unanswered, expected) in [
         (UnansweredRequests::default(), &b"s0\nOPEN 01 02 c=chat"[..]),
         (UNANSWERED, b"s0\nOPEN 01 02 c=chat\n3 1200"),
--- a/crates/cli/tests/handover.rs
+++ b/crates/cli/tests/handover.rs
@@ -276,6 +276,31 @@
     server.expect_line("line");
 }
 
+/// Guards against connections being handed over to a process that takes them and does nothing: it is suspended here.
+#[test]
+fn clients_are_migrated_when_next_process_does_not_run() {
+    let site = SharedSite::new("hung-successor").with_shared_folder();
+    let (mut old, _) = site.start();
+    let mut clients: Vec<Peer> = (0..6)
+        .map(|number| site.open(&format!("h{number}")))
+        .collect();
+    clients
+        .iter_mut()
+        .for_each(|client| client.expect_line("UP r"));
+    let (new, _) = site.start();
+    let began_at = Instant::now();
+    while_stopped(&new, || {
+        old.signal("TERM");
+        for client in &mut clients {
+            client.expect_line("MOVE");
+        }
+        println!("all migrated after {:?}", began_at.elapsed());
+        assert!(old.exits_cleanly(), "program exits with success by itself");
+    });
+    assert!(began_at.elapsed() <= Duration::from_millis(3_750));
+    site.open("after").expect_line("UP r");
+}
+
 /// Opens a request that may not be repeated.
 fn open_once(address: SocketAddr, id: &str) -> Peer {
     let mut client = Peer::connect(address);
