Net: a connection to a server no longer keeps another start's port

What callers saw: a balancer ended at its start with exit code 1, address in use, though nothing listened there.

Cause: the system picks local ports of outgoing connections, also one that another balancer is to listen on. Both sockets need SO_REUSEADDR to share it; connections to servers had not, and a start tried once.

Fix: connections to servers and of the prober have the option, and a start waits up to 3 s for its port.

--- a/crates/balancer/src/connections/connect.rs
+++ b/crates/balancer/src/connections/connect.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use rustix::io::Errno;
-use socket2::{Domain, SockRef, Socket, Type};
+use socket2::SockRef;
 
 use crate::attempt::{ABANDON_CHECK_INTERVAL, AttemptError, ServerExchange, WaitingClient};
 use crate::connections::relay::ClientConnection;
@@ -91,12 +91,7 @@
 
 /// Starts a non-blocking connect.
 fn start_connect(address: SocketAddr) -> io::Result<TcpStream> {
-    // The same system calls as `TcpStream::connect_timeout`.
-    let server = TcpStream::from(Socket::new(
-        Domain::for_address(address),
-        Type::STREAM,
-        None,
-    )?);
+    let server = TcpStream::from(net::outgoing_socket(address)?);
     server.set_nonblocking(true)?;
     match SockRef::from(&server).connect(&address.into()) {
         Err(error) if error.raw_os_error() != Some(Errno::INPROGRESS.raw_os_error()) => Err(error),
--- a/crates/balancer/src/net.rs
+++ b/crates/balancer/src/net.rs
@@ -25,6 +25,37 @@
 /// queue assumes that it is connected.
 const BACKLOG: i32 = 4096;
 
+/// Longest time for which a start waits for its port. A process is to be ready within 6 s.
+const LISTEN_TIMEOUT: Duration = Duration::from_secs(3);
+/// Pause between two tries to listen.
+const LISTEN_RETRY_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Creates a socket for a connection to an address. The system picks its local port, also one that
+/// another process is to listen on; the option lets it, while the connection is open and after.
+///
+/// # Errors
+///
+/// Fails if the socket can't be created.
+pub fn outgoing_socket(address: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    Ok(socket)
+}
+
+/// Listens on an address, and waits a while for a port that is in use: a connection of another
+/// process may have it for a moment.
+fn listen_when_free(address: SocketAddr) -> io::Result<TcpListener> {
+    let deadline_at = Instant::now() + LISTEN_TIMEOUT;
+    loop {
+        match listen(address) {
+            Err(error) if error.kind() == ErrorKind::AddrInUse && Instant::now() < deadline_at => {
+                std::thread::sleep(LISTEN_RETRY_INTERVAL);
+            }
+            result => return result,
+        }
+    }
+}
+
 /// Listens on an address.
 ///
 /// # Errors
@@ -47,13 +78,13 @@
 }
 
 impl Listener {
-    /// Creates a listener of this process alone.
+    /// Creates a listener of this process alone. Waits up to 3 s for a port that is in use.
     ///
     /// # Errors
     ///
     /// Fails if the socket can't be created or bound.
     pub fn bound(address: SocketAddr) -> io::Result<Listener> {
-        Listener::nonblocking(listen(address)?, false)
+        Listener::nonblocking(listen_when_free(address)?, false)
     }
 
     /// Wraps a listener that was inherited.
--- a/crates/balancer/src/prober.rs
+++ b/crates/balancer/src/prober.rs
@@ -14,7 +14,6 @@
 
 use beaconflow_policy::{ProbeAnswer, ServerId};
 use crossbeam_channel::{Receiver, Sender, unbounded};
-use socket2::{Domain, Socket, Type};
 use tracing::debug;
 
 use crate::core::{Endpoint, LoadProber};
@@ -298,7 +297,7 @@
 
 impl ProbeConnection {
     fn open(address: SocketAddr) -> io::Result<ProbeConnection> {
-        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        let socket = net::outgoing_socket(address)?;
         socket.set_nonblocking(true)?;
         let is_connecting = match socket.connect(&address.into()) {
             Ok(()) => false,
--- a/crates/cli/tests/starting.rs
+++ b/crates/cli/tests/starting.rs
@@ -178,3 +178,58 @@
     program.wait_for_log("to=serving");
     assert_eq!(ping_answer(front).as_deref(), Some("PONG"));
 }
+
+/// Starts a balancer that listens on this address; fails unless it serves.
+fn start_on(name: &str, address: SocketAddr) -> (Program, Discovery) {
+    let discovery = Discovery::start();
+    let server = reserve_address();
+    let known_endpoints = endpoint_list(1, true, &[("s0", server, "SERVING")]);
+    let config = platform_config(address, discovery.address, &known_endpoints, SETTINGS, 256);
+    let path = write_temp_file(name, &config);
+    let program = Program::start(&[], &[("LB_CONFIG", path.as_str())]);
+    program.wait_for_log("to=serving");
+    Peer::connect(address).send("PING\r\n");
+    (program, discovery)
+}
+
+/// Guards against a start that fails because another balancer's connection to a server was given its port by the system,
+/// while that connection is open and after the balancer has closed it.
+#[test]
+fn starts_on_port_of_other_balancers_connection() {
+    for is_closed in [false, true] {
+        let site = support::site::Site::start("port-holder", 1);
+        let (client, server) = site.establish_connection();
+        let held = server.stream.peer_addr().expect("socket is open");
+        let mut server = Some(server);
+        if is_closed {
+            // The balancer closes first, so that its end waits for stray packets.
+            drop(client);
+            let mut server = server.take().expect("the server's end");
+            assert!(server.is_closed());
+            drop(server);
+        }
+        let (program, _discovery) = start_on("port-wanted", held);
+        drop((program, server));
+    }
+}
+
+/// Guards against a start that fails because another program's connection has its port for a moment.
+#[test]
+fn start_waits_for_port_of_short_connection() {
+    let server = listener();
+    let connection = TcpStream::connect(address_of(&server)).expect("the listener is open");
+    let held = connection.local_addr().expect("socket is open");
+    let holder = std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_millis(1_500));
+        // A reset leaves nothing behind.
+        let socket = socket2::SockRef::from(&connection);
+        socket
+            .set_linger(Some(Duration::ZERO))
+            .expect("socket is open");
+    });
+    let began_at = Instant::now();
+    let (_program, _discovery) = start_on("port-held", held);
+    println!("ready after {:?}", began_at.elapsed());
+    assert!(began_at.elapsed() <= MAX_READY_TIME);
+    holder.join().expect("the holder ends");
+}
