--- a/crates/balancer/src/connections/event_loop/handover.rs
+++ b/crates/balancer/src/connections/event_loop/handover.rs
@@ -130,8 +130,16 @@
 /// Connects to the process that replaces this one, if there is one.
 fn find_successor<F: Front>(context: &FrontContext<F>) -> Option<HandoverSender> {
     let address = context.handover.as_ref()?;
-    address.connect().unwrap_or_else(|error| {
-        warn!(part = context.front.name(), why = %error, "could not connect to the process that replaces this one");
+    let part = context.front.name();
+    let mut sender = address.connect().unwrap_or_else(|error| {
+        warn!(part, why = %error, "could not connect to the process that replaces this one");
         None
-    })
+    })?;
+    if !sender.is_ready() {
+        warn!(
+            part,
+            "the process that replaces this one does not answer; migrating clients until it does"
+        );
+    }
+    Some(sender)
 }
--- a/crates/cli/tests/handover.rs
+++ b/crates/cli/tests/handover.rs
@@ -295,6 +295,7 @@
             client.expect_line("MOVE");
         }
         println!("all migrated after {:?}", began_at.elapsed());
+        old.wait_for_log("does not answer; migrating clients");
         assert!(old.exits_cleanly(), "program exits with success by itself");
     });
     assert!(began_at.elapsed() <= Duration::from_millis(3_750));
