--- a/crates/cli/tests/silent_servers.rs
+++ b/crates/cli/tests/silent_servers.rs
@@ -395,3 +395,21 @@
     assert!(answer.starts_with("-ERR '"), "{answer}");
     assert!(asked_at.elapsed() <= Duration::from_millis(3_050));
 }
+
+/// Guards against a client being held on a silent server in the middle of a message that is too large to be held back.
+#[test]
+fn client_in_message_beyond_budget_is_moved_from_silent_server() {
+    let wire = format!("{WIRE}, max_payload = 67108864");
+    let site = ScriptedSite::start("beyond-budget", &wire, 1);
+    let mut client = site.client("large-message");
+    client.send("PUB t 60000000\r\n");
+    // More than the front holds back.
+    client.send(&"x".repeat(40_000_000));
+    let server = &site.servers[0];
+    server.set_mode(ServerMode::Silent);
+    let silent_since = Instant::now();
+    let close = read_until_end(&client.stream, silent_since + TROUBLE);
+    let lasted = close.expect("the client is moved").at - silent_since;
+    println!("moved after {lasted:?}");
+    assert!(lasted <= MAX_SILENCE, "{lasted:?}");
+}
