Tests: a client that leaves during a load probe has left for certain

Cause, as far as it is known: the test only drops the client's socket. Other tests of the file start programs at that moment, and between fork and exec such a process has a copy of the socket, so that the client has not left when the answer to the probe comes. The product is right: the client was still there.

Change: the client ends its sending first, which no copy undoes. What is asserted is as before.

--- a/crates/cli/tests/gone.rs
+++ b/crates/cli/tests/gone.rs
@@ -186,6 +186,8 @@
     let client = site.open_client("chat", "");
     let mut server = Peer::accept(&site.servers[0]);
     assert_eq!(server.read_line().as_deref(), Some("STATS"));
+    // A process that another test is starting may have a copy of the socket, so that a close alone ends nothing yet.
+    client.shutdown_write();
     drop(client);
     server.send("PONG x0=0.1\r\n");
     assert_eq!(
