Tests: a start's port is one that only the balancer's connection has

Likely cause: the system gives one port to several connections, also closed ones of other tests. The test now takes a port that one socket has.

--- a/crates/cli/tests/starting.rs
+++ b/crates/cli/tests/starting.rs
@@ -192,14 +192,29 @@
     (program, discovery)
 }
 
+/// Number of sockets with this local address, open or closed. The system gives a port to several connections, also to those of
+/// other tests that have ended, which keep it without the option that the balancer's have.
+fn sockets_with_port(address: SocketAddr) -> usize {
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("the table is readable");
+    let local = format!(": 0100007F:{:04X} ", address.port());
+    table.lines().filter(|line| line.contains(&local)).count()
+}
+
 /// Guards against a start that fails because another balancer's connection to a server was given its port by the system,
 /// while that connection is open and after the balancer has closed it.
 #[test]
 fn starts_on_port_of_other_balancers_connection() {
     for is_closed in [false, true] {
         let site = support::site::Site::start("port-holder", 1);
-        let (client, server) = site.establish_connection();
-        let held = server.stream.peer_addr().expect("socket is open");
+        let mut others = Vec::new();
+        let (client, server, held) = loop {
+            let (client, server) = site.establish_connection();
+            let held = server.stream.peer_addr().expect("socket is open");
+            if sockets_with_port(held) == 1 {
+                break (client, server, held);
+            }
+            others.push((client, server));
+        };
         let mut server = Some(server);
         if is_closed {
             // The balancer closes first, so that its end waits for stray packets.
