Tests: settings, tenant and warm-up of the NATS sites stand once

Three test files wrote the settings' section and two the tenant with its repeated call; both are functions of the support now. Clients of all habits begin in one place. Assertions are as they were.

--- a/crates/cli/tests/floods.rs
+++ b/crates/cli/tests/floods.rs
@@ -90,7 +90,6 @@
         let (address, admin, redis) = (reserve_address(), reserve_address(), start_redis());
         let record = SharedRecord::default();
         let server = NatsServer::start("only", Behavior::Serve, &record);
-        let settings: serde_json::Value = serde_json::from_str(SETTINGS).expect("valid JSON");
         let file_text = format!(
             "name = \"front\"\nlisten = \"{address}\"\nsockets = {SOCKETS}\n\
              wire = {{ max_payload = 1048576, connect_wait_ms = 2000 }}\n\
@@ -98,7 +97,7 @@
              [farm]\nservers = [{{ name = \"only\", address = \"{}\" }}]\n{}",
             redis.address,
             server.address,
-            toml::to_string(&serde_json::json!({ "settings": settings })).expect("valid TOML")
+            settings_section()
         );
         let path = write_temp_file(name, &file_text);
         let program = Program::start(&["--operator", &path], &[]);
--- a/crates/cli/tests/silent_servers.rs
+++ b/crates/cli/tests/silent_servers.rs
@@ -34,14 +34,17 @@
 
 type RunningClient = (ClientHabit, JoinHandle<Option<ConnectionClose>>);
 
-/// Has a client of each habit connect and follow it until the deadline.
-fn start_clients(site: &ScriptedSite, deadline: Instant) -> Vec<RunningClient> {
+/// Has a client of each habit connect and follow it to the end of the trouble. Returns when the trouble is to begin.
+fn start_clients(site: &ScriptedSite) -> Vec<RunningClient> {
+    let deadline = Instant::now() + WARM_UP + TROUBLE;
     let start_client = |(number, habit)| {
         let client = site.client(&format!("client-{number}"));
         let run = move || follow_habit(client, habit, deadline);
         (habit, std::thread::spawn(run))
     };
-    HABITS.into_iter().enumerate().map(start_client).collect()
+    let clients = HABITS.into_iter().enumerate().map(start_client).collect();
+    std::thread::sleep(WARM_UP);
+    clients
 }
 
 /// Waits for all clients; prints and returns how long each connection lasted in the trouble.
@@ -67,9 +70,7 @@
 fn play(site: &ScriptedSite, mode: ServerMode) -> Vec<Outcome> {
     let server = &site.servers[0];
     server.set_mode(ServerMode::Serve);
-    let deadline = Instant::now() + WARM_UP + TROUBLE;
-    let clients = start_clients(site, deadline);
-    std::thread::sleep(WARM_UP);
+    let clients = start_clients(site);
     let began_at = Instant::now();
     server.set_mode(mode);
     finish_clients(clients, began_at, &format!("{mode:?}"))
@@ -143,9 +144,7 @@
 fn clients_of_server_that_goes_on_late_are_moved_before() {
     let site = ScriptedSite::start("goes-on-late", WIRE, 1);
     let server = &site.servers[0];
-    let deadline = Instant::now() + WARM_UP + TROUBLE;
-    let clients = start_clients(&site, deadline);
-    std::thread::sleep(WARM_UP);
+    let clients = start_clients(&site);
     let began_at = Instant::now();
     server.set_mode(ServerMode::Stopped);
     std::thread::sleep(Duration::from_millis(6_900));
@@ -217,9 +216,7 @@
 fn clients_are_held_when_process_was_suspended() {
     let site = ScriptedSite::start("suspended", WIRE, 1);
     let server = &site.servers[0];
-    let deadline = Instant::now() + WARM_UP + TROUBLE;
-    let clients = start_clients(&site, deadline);
-    std::thread::sleep(WARM_UP);
+    let clients = start_clients(&site);
     let began_at = Instant::now();
     // The servers are suspended a little before the balancer and go on a little later, so that they
     // owe answers when it is.
--- a/crates/cli/tests/support/nats.rs
+++ b/crates/cli/tests/support/nats.rs
@@ -9,7 +9,7 @@
 
 pub use beaconflow_contracts::redis::Redis;
 
-use super::{Peer, listener};
+use super::{Api, Peer, SETTINGS, listener};
 
 /// How a NATS server answers a connection.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -291,3 +291,21 @@
 pub fn start_redis() -> Redis {
     Redis::start_on(listener())
 }
+
+/// The section `[settings]` of an operator's file, with the settings of the tests.
+pub fn settings_section() -> String {
+    let settings: serde_json::Value = serde_json::from_str(SETTINGS).expect("valid JSON");
+    toml::to_string(&serde_json::json!({ "settings": settings })).expect("settings convert to TOML")
+}
+
+/// Adds the tenant `acme`, whose clients belong to the class `chat`.
+pub fn add_tenant(api: &Api, password: &str, connections: usize) {
+    let tenant = format!(
+        r#"{{"name":"acme","password":"{password}","class":"chat","connections":{connections},
+            "upstream":{{"user":"up","password":"up-secret"}}}}"#
+    );
+    // On a loaded machine the store may be unavailable for a while, so the call is repeated.
+    let is_added =
+        (0..20).any(|_| matches!(api.call("POST", "/v1/tenants", &tenant).status, 201 | 409));
+    assert!(is_added, "the tenant is not accepted");
+}
--- a/crates/cli/tests/support/scripted_nats.rs
+++ b/crates/cli/tests/support/scripted_nats.rs
@@ -5,10 +5,8 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use super::nats::{Redis, connect_client, read_message, start_redis};
-use super::{
-    ADMIN_TOKEN, Api, Peer, Program, SETTINGS, listener, reserve_address, write_temp_file,
-};
+use super::nats::{Redis, add_tenant, connect_client, read_message, settings_section, start_redis};
+use super::{ADMIN_TOKEN, Api, Peer, Program, listener, reserve_address, write_temp_file};
 
 const PASSWORD: &str = "acme's own password";
 /// Interval at which a server that does not read looks whether it is to go on.
@@ -184,7 +182,6 @@
             })
             .collect();
         let (address, admin, redis) = (reserve_address(), reserve_address(), start_redis());
-        let settings: serde_json::Value = serde_json::from_str(SETTINGS).expect("valid JSON");
         let file_text = format!(
             "name = \"front\"\nlisten = \"{address}\"\nsockets = 4096\nwire = {{ {wire} }}\n\
              store = {{ url = \"redis://{}/\", fresh_ms = 60000 }}\n\
@@ -192,7 +189,7 @@
              farm = {{ servers = [{}] }}\n{}",
             redis.address,
             listed.join(", "),
-            toml::to_string(&serde_json::json!({ "settings": settings })).expect("valid TOML")
+            settings_section()
         );
         let path = write_temp_file(name, &file_text);
         let program = Program::start(&["--operator", &path], &[]);
@@ -201,14 +198,7 @@
             address: admin,
             token: ADMIN_TOKEN,
         };
-        let tenant = format!(
-            r#"{{"name":"acme","password":"{PASSWORD}","class":"chat","connections":2000,
-                "upstream":{{"user":"up","password":"up-secret"}}}}"#
-        );
-        // On a loaded machine the store may be unavailable for a while, so the call is repeated.
-        let is_added =
-            (0..20).any(|_| matches!(api.call("POST", "/v1/tenants", &tenant).status, 201 | 409));
-        assert!(is_added, "the tenant is not accepted");
+        add_tenant(&api, PASSWORD, 2_000);
         ScriptedSite {
             program,
             address,
--- a/crates/cli/tests/transports/fronts.rs
+++ b/crates/cli/tests/transports/fronts.rs
@@ -12,7 +12,7 @@
 use beaconflow_fault_injection::{Link, Net, Record};
 
 use crate::link_fault;
-use crate::support::nats::{Redis, start_redis};
+use crate::support::nats::{Redis, add_tenant, settings_section, start_redis};
 use crate::support::*;
 
 /// Protocol of a front, and how it encodes messages.
@@ -136,7 +136,6 @@
 
 fn start_nats(at: SocketAddr, discovery: SocketAddr) -> (Program, Redis) {
     let (admin, redis) = (reserve_address(), start_redis());
-    let settings: serde_json::Value = serde_json::from_str(SETTINGS).expect("valid JSON");
     let overrides = write_temp_file(&format!("contract-{at}.redb"), "");
     std::fs::remove_file(&overrides).expect("file was just created");
     let config_text = format!(
@@ -146,8 +145,7 @@
          admin = {{ listen = \"{admin}\", token = \"{ADMIN_TOKEN}\" }}\noverrides = {{ file = \"{overrides}\" }}\n\
          farm = {{ discovery = \"{discovery}\" }}\n{}",
         redis.address,
-        toml::to_string(&serde_json::json!({ "settings": settings }))
-            .expect("settings convert to TOML")
+        settings_section()
     );
     let program = Program::start(
         &[
@@ -157,18 +155,11 @@
         &[],
     );
     program.wait_for_log("administration API serves");
-    let tenant = format!(
-        r#"{{"name":"acme","password":"{PASSWORD}","class":"chat","connections":64,
-            "upstream":{{"user":"up","password":"up-secret"}}}}"#
-    );
     let api = Api {
         address: admin,
         token: ADMIN_TOKEN,
     };
-    // On a loaded machine the store may be unavailable for a while, so the call is repeated.
-    let added =
-        (0..20).any(|_| matches!(api.call("POST", "/v1/tenants", &tenant).status, 201 | 409));
-    assert!(added, "the tenant is not accepted");
+    add_tenant(&api, PASSWORD, 64);
     (program, redis)
 }
 
