Platform: a waiting claim is refused once another process has sent the id

What callers saw: an id was sent by both processes of an upgrade. The old one had not run for a moment, the new one had sent the request without its answer, and the client came back to the old one.

Cause: the old process opened the id before it had read that the new one had it and may have run it. It took both for claims of the same moment, and the news did not touch its own claim, which was waiting.

Fix: news that an id may have run elsewhere refuses a claim that waits.

--- a/crates/balancer/src/front/platform/open_ids.rs
+++ b/crates/balancer/src/front/platform/open_ids.rs
@@ -200,6 +200,7 @@
             IdEvent::Remembered(digest) => {
                 peer_ids.open.remove(&digest);
                 table.remember(digest);
+                table.refuse_pending_claim(digest);
             }
             IdEvent::Granted(digest) => table.on_answer(peer, digest, |claim| claim.grant(peer)),
             IdEvent::Refused(digest) => table.on_answer(peer, digest, Claim::refuse),
@@ -251,6 +252,15 @@
         }
     }
 
+    /// Refuses a claim of this process that waits for answers: another process has sent the id.
+    fn refuse_pending_claim(&mut self, digest: u64) {
+        if let Some(claim) = self.claims.get_mut(&digest)
+            && claim.is_pending()
+        {
+            claim.refuse();
+        }
+    }
+
     /// Whether an id that another process claims is taken. Of two processes that claim an id at the
     /// same moment the former one gets it.
     fn is_taken_for(&self, claimant: u64, digest: u64) -> bool {
@@ -394,3 +404,6 @@
         self.ids.lock().close(self.digest, may_have_run);
     }
 }
+
+#[cfg(test)]
+mod tests;
