--- a/crates/cli/tests/silent_servers.rs
+++ b/crates/cli/tests/silent_servers.rs
@@ -21,6 +21,8 @@
 const MAX_SILENCE: Duration = Duration::from_secs(7).saturating_add(SOCKET_ALLOWANCE);
 /// Servers are silent or late for this long.
 const TROUBLE: Duration = Duration::from_secs(13);
+/// An operator's migration waits 0.7 s for the end of a message; its client has 0.5 s to leave, and the rest is the pace.
+const MAX_OPERATOR_MIGRATION: Duration = Duration::from_millis(1_500);
 /// Clients follow their habit for this long before the trouble.
 const WARM_UP: Duration = Duration::from_millis(1_500);
 
@@ -378,6 +380,41 @@
     }
 }
 
+/// Guards against an operator's migration that waits for a silent server: in the middle of a message, before its answer, or
+/// beneath a client that sends on.
+#[test]
+fn silent_server_does_not_delay_migration_by_operator() {
+    let site = ScriptedSite::start("silent-migration", WIRE, 1);
+    let server = &site.servers[0];
+    let mut asks = site.client("asks");
+    let mid_message = site.client("mid-message");
+    server.send_to_all(b"MSG t 1 10\r\nhello");
+    let publishes = site.client("publishes");
+    server.set_mode(ServerMode::Silent);
+    asks.send("PING\r\nPUB t 10\r\nhel");
+    std::thread::sleep(Duration::from_millis(300));
+    let began_at = Instant::now();
+    let body = r#"{"kind":"out","server":"n0","moves_per_s":100,"who":"ada","why":"it hangs","expires_in_s":60,"force":true}"#;
+    site.api.add_override(body);
+    let habit = ClientHabit::Publish(Duration::from_millis(50));
+    let publishes = std::thread::spawn(move || follow_habit(publishes, habit, began_at + TROUBLE));
+    let read = |peer: &Peer| read_until_end(&peer.stream, began_at + TROUBLE);
+    let ends = [
+        ("asks", read(&asks)),
+        ("mid-message", read(&mid_message)),
+        ("publishes", publishes.join().expect("the client ends")),
+    ];
+    for (name, end) in ends {
+        let end = end.expect("an end");
+        let lasted = end.at.saturating_duration_since(began_at);
+        println!(
+            "migration by an operator, {name}: {lasted:?}, moved {}",
+            end.was_moved
+        );
+        assert!(lasted <= MAX_OPERATOR_MIGRATION, "{name}: {lasted:?}");
+    }
+}
+
 /// Guards against a server that sends lines but no PONG holding the set-up of a connection.
 #[test]
 fn set_up_ends_in_time_at_server_that_sends_lines_alone() {
--- a/crates/cli/tests/support/scripted_nats.rs
+++ b/crates/cli/tests/support/scripted_nats.rs
@@ -163,6 +163,7 @@
     /// Path of the operator's file; `file_text` holds its contents.
     pub path: String,
     pub file_text: String,
+    _folder: tempfile::TempDir,
     _redis: Redis,
 }
 
@@ -182,11 +183,14 @@
             })
             .collect();
         let (address, admin, redis) = (reserve_address(), reserve_address(), start_redis());
+        let folder = tempfile::tempdir().expect("temporary folder is writable");
         let file_text = format!(
             "name = \"front\"\nlisten = \"{address}\"\nsockets = 4096\nwire = {{ {wire} }}\n\
+             overrides = {{ file = \"{}\" }}\n\
              store = {{ url = \"redis://{}/\", fresh_ms = 60000 }}\n\
              admin = {{ listen = \"{admin}\", token = \"{ADMIN_TOKEN}\" }}\n\
              farm = {{ servers = [{}] }}\n{}",
+            folder.path().join("overrides.redb").display(),
             redis.address,
             listed.join(", "),
             settings_section()
@@ -207,6 +211,7 @@
             path,
             file_text,
             _redis: redis,
+            _folder: folder,
         }
     }
 
