Fleet: a later list of the peers replaces the part of it that came first

It used 4 or 5 of 6 servers until discovery was back.

Cause: peers send their list in parts, and the core took the fleet thread's list only while it knew no server at all, so the first part stayed. Evidence: with a log line at the choice (trial) the process knew all 40 placements, and each misplaced client's was "NotListed"; recovery's own list had all 6 servers two seconds before.

The core now notes that its list is the fleet thread's, and a later one replaces it until discovery or the configuration names servers. list_of_peers_is_completed_until_discovery_sends_one fails before. Nothing changes without [fleet].

--- a/crates/balancer/src/core/attempts.rs
+++ b/crates/balancer/src/core/attempts.rs
@@ -51,6 +51,7 @@
         parts: &[ListSummary],
         is_cached: bool,
     ) {
+        self.is_list_of_fleet = false;
         let ListSummary {
             update, entries, ..
         } = ListSummary::new(&list, is_cached);
--- a/crates/balancer/src/core/fleet_link.rs
+++ b/crates/balancer/src/core/fleet_link.rs
@@ -244,14 +244,21 @@
         }
     }
 
+    /// Applies the list that the fleet thread has, while no better one is known. It may be incomplete
+    /// at first, since peers send it in parts, so a later one replaces it.
+    fn apply_list_of_fleet(&mut self, list: ServerList) {
+        if self.is_list_of_fleet || self.endpoints.is_empty() {
+            self.apply_list(list, true);
+            self.is_list_of_fleet = true;
+        }
+    }
+
     /// Handles an event of the fleet thread.
     pub(super) fn on_fleet_event(&mut self, event: FleetEvent) {
         match event {
             FleetEvent::CachedList(latest_list) => {
-                if let Some(list) = latest_list.take()
-                    && self.endpoints.is_empty()
-                {
-                    self.apply_list(list, true)
+                if let Some(list) = latest_list.take() {
+                    self.apply_list_of_fleet(list);
                 }
             }
             FleetEvent::Affinity(event) => self.on_affinity_event(event),
--- a/crates/balancer/src/core/fleet_link/tests.rs
+++ b/crates/balancer/src/core/fleet_link/tests.rs
@@ -135,23 +135,38 @@
     assert_eq!(polls.len(), 3);
 }
 
-/// The event that a list of one server is known.
-fn cached_list(server: &str) -> FleetEvent {
+/// The event that a list of these servers is known.
+fn cached_list(servers: &[&str]) -> FleetEvent {
+    let rows: Vec<String> = servers.iter().map(|server| row(server)).collect();
     let latest_list = Latest::default();
-    latest_list.replace(list(&row(server)));
+    latest_list.replace(list(&rows.join(",")));
     FleetEvent::CachedList(latest_list)
 }
 
 #[test]
 fn applies_cached_list_only_while_no_server_is_known() {
     let mut core = testing::core(Clock::start(), OverrideSet::default());
-    core.handle_input(CoreInput::Fleet(cached_list("s7")));
+    core.handle_input(CoreInput::Fleet(cached_list(&["s7"])));
     assert!(core.endpoints.by_name("s7").is_none());
     core.on_discovery(DiscoveryEvent::List(list("")));
-    core.handle_input(CoreInput::Fleet(cached_list("s7")));
+    core.handle_input(CoreInput::Fleet(cached_list(&["s7"])));
     assert!(core.endpoints.by_name("s7").is_some());
 }
 
+/// Guards against a process without a disk that serves by the part of the peers' list that came first until discovery is
+/// back.
+#[test]
+fn list_of_peers_is_completed_until_discovery_sends_one() {
+    let mut core = testing::core(Clock::start(), OverrideSet::default());
+    core.on_discovery(DiscoveryEvent::List(list("")));
+    core.handle_input(CoreInput::Fleet(cached_list(&["s0"])));
+    core.handle_input(CoreInput::Fleet(cached_list(&["s0", "s1"])));
+    assert!(core.endpoints.by_name("s1").is_some());
+    core.on_discovery(DiscoveryEvent::List(list(&row("s0"))));
+    core.handle_input(CoreInput::Fleet(cached_list(&["s0", "s1", "s2"])));
+    assert!(core.endpoints.by_name("s2").is_none());
+}
+
 /// Delay before the retry of a client whose first attempt was rejected.
 fn retry_delay(core: &mut Core, id: u64) -> Nanos {
     testing::open_request(
--- a/crates/balancer/src/core/mod.rs
+++ b/crates/balancer/src/core/mod.rs
@@ -146,6 +146,8 @@
     has_lost_overrides: bool,
     /// Link to the fleet thread, where a fleet is configured.
     fleet: Option<FleetLink>,
+    /// Whether the present list came from the fleet thread, which may know more of it later.
+    is_list_of_fleet: bool,
     /// When lists of discovery are applied again.
     lists_resume_at: Instant,
     /// Limits the lines about applied lists.
--- a/crates/balancer/src/core/start.rs
+++ b/crates/balancer/src/core/start.rs
@@ -123,6 +123,7 @@
         overrides_timer_at: None,
         has_lost_overrides: false,
         fleet: None,
+        is_list_of_fleet: false,
         lists_resume_at: Instant::now(),
         applied_lists: RateLimitedLog::default(),
     };
--- a/crates/balancer/src/fleet/recovery_commands.rs
+++ b/crates/balancer/src/fleet/recovery_commands.rs
@@ -65,8 +65,8 @@
         }
     }
 
-    /// Sends the core the server list as recovery has it; the core uses it only while it knows
-    /// none.
+    /// Sends the core the server list as recovery has it; the core uses it only while neither
+    /// discovery nor the configuration has named a server.
     pub(super) fn publish_list_to_core(&mut self) {
         let entry = |entry: recovery::Entry| {
             let known = self.servers.get(&entry.name)?;
