Tests: a program that is stopped has stopped before the test goes on

The signal is taken by a thread once it runs, so a test that stops a program for a time began that time early.

--- a/crates/cli/tests/connections.rs
+++ b/crates/cli/tests/connections.rs
@@ -44,7 +44,7 @@
             .next()
             .and_then(|rest| rest.chars().next())
     };
-    site.program.signal("STOP");
+    site.program.stop();
     while state() != Some('T') {
         std::thread::sleep(Duration::from_millis(1));
     }
--- a/crates/cli/tests/fleet_recovery.rs
+++ b/crates/cli/tests/fleet_recovery.rs
@@ -95,7 +95,7 @@
     let fleet = Fleet::start(1, 1);
     let process = fleet.start_process(0, &fleet.operator_sections(0, ""));
     process.program.wait_for_log("to=serving");
-    process.program.signal("STOP");
+    process.program.stop();
     std::thread::sleep(STALL_THRESHOLD + Duration::from_secs(1));
     process.program.signal("CONT");
     process.program.wait_for_log("step=Resumed");
--- a/crates/cli/tests/handover.rs
+++ b/crates/cli/tests/handover.rs
@@ -332,7 +332,7 @@
 
 /// Runs `act` while a process is stopped, so that the other one accepts all clients.
 fn while_stopped<T>(process: &Program, act: impl FnOnce() -> T) -> T {
-    process.signal("STOP");
+    process.stop();
     let stat_path = format!("/proc/{}/stat", process.pid());
     wait_for("the process to stop", || {
         let stat = std::fs::read_to_string(&stat_path).expect("process exists");
--- a/crates/cli/tests/silent_servers.rs
+++ b/crates/cli/tests/silent_servers.rs
@@ -224,7 +224,7 @@
     // owe answers when it is.
     server.set_mode(ServerMode::Stopped);
     std::thread::sleep(Duration::from_millis(600));
-    site.program.signal("STOP");
+    site.program.stop();
     std::thread::sleep(Duration::from_secs(6));
     site.program.signal("CONT");
     std::thread::sleep(Duration::from_millis(500));
--- a/crates/cli/tests/support/program.rs
+++ b/crates/cli/tests/support/program.rs
@@ -119,6 +119,28 @@
         assert!(status.success());
     }
 
+    /// Stops the program, and returns once none of its threads runs: one that waits for a processor takes the signal late.
+    pub fn stop(&self) {
+        self.signal("STOP");
+        let deadline = Instant::now() + TEST_TIMEOUT;
+        while !self.are_all_threads_stopped() {
+            assert!(Instant::now() < deadline, "the program does not stop");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    fn are_all_threads_stopped(&self) -> bool {
+        let path = format!("/proc/{}/task", self.pid());
+        let threads = std::fs::read_dir(path).expect("program is running");
+        threads.flatten().all(|thread| {
+            // The state follows the name in parentheses. A thread that has ended meanwhile doesn't run.
+            std::fs::read_to_string(thread.path().join("stat")).map_or(true, |stat| {
+                stat.rsplit_once(") ")
+                    .is_some_and(|(_, fields)| fields.starts_with('T'))
+            })
+        })
+    }
+
     pub fn pid(&self) -> u32 {
         self.child.id()
     }
