Fleet: the margin of the servers' overload limit is a setting

Cause: the plan of the admission keeps a margin for chance below the servers' limit, and takes into account what the servers' rule itself leaves to chance (N + m * (sqrt(N) + 1)), but the program had no setting for m and always planned with 0.

fleet.overload_margin (0 to 10, default 0: as before) is that m.

--- a/crates/balancer/src/fleet/recovery_driver.rs
+++ b/crates/balancer/src/fleet/recovery_driver.rs
@@ -82,7 +82,7 @@
             clients_per_server_s: fleet
                 .clients_per_server_s
                 .unwrap_or(defaults.clients_per_server_s),
-            variance_margin: defaults.variance_margin,
+            variance_margin: fleet.overload_margin,
         },
         classes: settings.classes.iter().map(class).collect(),
         usual_clients: fleet.clients,
--- a/crates/balancer/src/fleet/recovery_driver/tests.rs
+++ b/crates/balancer/src/fleet/recovery_driver/tests.rs
@@ -20,6 +20,7 @@
         site_size: 3,
         other_sites: Vec::new(),
         clients_per_server_s: None,
+        overload_margin: 0.0,
         clients: 0,
         memory: None,
         edge: EdgeConfig::default(),
--- a/crates/balancer/src/operator/fleet.rs
+++ b/crates/balancer/src/operator/fleet.rs
@@ -38,6 +38,9 @@
     /// Clients per second that a warm server of weight 1 can accept. Setting it enables staged
     /// admission after a power loss.
     pub clients_per_server_s: Option<f64>,
+    /// Tolerance of the servers' overload limit N for random variation: with a margin m a server is
+    /// overloaded beyond N + m * (sqrt(N) + 1) clients.
+    pub overload_margin: f64,
     /// Expected number of clients of the whole fleet, used while no other source provides it; 0 if
     /// unknown.
     pub clients: u32,
--- a/crates/balancer/src/operator/fleet/processes.rs
+++ b/crates/balancer/src/operator/fleet/processes.rs
@@ -10,6 +10,8 @@
 
 /// Maximum number of processes in a fleet.
 const MAX_PROCESSES: usize = 1_000;
+/// Maximum margin of the overload limit, in roots of the limit.
+const MAX_OVERLOAD_MARGIN: f64 = 10.0;
 
 /// Characters allowed in names, for error messages.
 const NAME_CHARACTERS: &str = "letters, digits, dots, dashes or underscores";
@@ -21,6 +23,7 @@
     let keys = Keys::read(&mut section);
     let sizes = FleetSizes::read(&mut section, addresses.other_peers(), site.as_deref());
     let clients_per_server_s = clients_per_server_s(&mut section);
+    let overload_margin = overload_margin(&mut section);
     let clients = section.optional("clients", 0);
     section.reject_unknown_fields();
     let keys = keys?;
@@ -36,6 +39,7 @@
         site_size: sizes.site,
         other_sites: sizes.other_sites,
         clients_per_server_s,
+        overload_margin,
         clients,
         memory: None,
         edge: EdgeConfig::default(),
@@ -188,6 +192,14 @@
     rate
 }
 
+fn overload_margin(section: &mut Section<'_>) -> f64 {
+    let margin: f64 = section.optional("overload_margin", 0.0);
+    let is_invalid = !(0.0..=MAX_OVERLOAD_MARGIN).contains(&margin);
+    let reason = format!("must be from 0 to {MAX_OVERLOAD_MARGIN}");
+    section.error_if("overload_margin", is_invalid, &reason);
+    margin
+}
+
 /// Reads a name. Names are sent in every datagram and logged, which limits their size and
 /// characters.
 fn required_name(section: &mut Section<'_>, field: &str, max_bytes: usize) -> Option<String> {
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -493,6 +493,16 @@
         ),
         ("fleet.borne", "size = 3", "size = 3\nborne = 0"),
         ("fleet.borne", "size = 3", "size = 3\nborne = \"many\""),
+        (
+            "fleet.overload_margin: must be from 0 to 10",
+            "size = 3",
+            "size = 3\noverload_margin = 10.5",
+        ),
+        (
+            "fleet.overload_margin: must be from 0 to 10",
+            "size = 3",
+            "size = 3\noverload_margin = -1.0",
+        ),
         ("fleet.clients", "size = 3", "size = 3\nclients = -1"),
         (
             "memory.path: is missing",
--- a/crates/cli/tests/stories/power.rs
+++ b/crates/cli/tests/stories/power.rs
@@ -126,6 +126,10 @@
         .refill_time(initial.len().div_ceil(SERVERS.len()))
         .mul_f64(1.3);
     let served = fleet.count_established_within(bound, outage_start);
+    println!(
+        "{served} of {} clients are served after {bound:?}",
+        initial.len()
+    );
     fleet.record.step("discovery is back");
     fleet.discovery.come_back();
     fleet.finish(&Rules::default()).assert_no_violations();
--- a/crates/fault-injection/src/options.rs
+++ b/crates/fault-injection/src/options.rs
@@ -9,6 +9,8 @@
 use serde_json::Value;
 use tempfile::TempDir;
 
+use crate::server::OVERLOAD_MARGIN;
+
 /// Timeout of a query to the administration endpoint, for connecting and for each read.
 const QUERY_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -105,7 +107,7 @@
             .map_or(1, |(_, count)| *count);
         let other_sites = other_sites.join(", ");
         let staged_admission = if self.staged_admission {
-            format!("borne = {setups_per_s:?}\n")
+            format!("borne = {setups_per_s:?}\noverload_margin = {OVERLOAD_MARGIN:?}\n")
         } else {
             String::new()
         };
--- a/crates/fault-injection/src/server.rs
+++ b/crates/fault-injection/src/server.rs
@@ -16,6 +16,8 @@
 /// Stack size of a connection's thread.
 const THREAD_STACK_BYTES: usize = 128 << 10;
 
+/// A server withstands N + m * (sqrt(N) + 1) setups where its rate allows N, with this margin m for chance.
+pub(crate) const OVERLOAD_MARGIN: f64 = 3.0;
 /// Number of simultaneous setups that are done without waiting.
 const SETUP_BURST: u32 = 4;
 
@@ -74,7 +76,7 @@
             * self.setups_per_s
             * capacity_share
             * self.overload_window.as_secs_f64();
-        (allowed + 3.0 * allowed.sqrt() + 3.0) as usize
+        (allowed + OVERLOAD_MARGIN * (allowed.sqrt() + 1.0)) as usize
     }
 }
 
