Ports: a late call is not evicted for an instant in which late calls are the many

Cause: a caller of the larger kind gives way (begun or silent), and the kinds were counted among those present at that instant. A caller that has connected and not yet been let write counts as silent; with eight late calls in 16 places one such caller made the late ones the larger kind. Traced with callers that begin 5 ms late: nine silent, eight of them for less than 1 ms, and the late call gave way after 20 ms.

--- a/crates/balancer/src/admin/acceptor.rs
+++ b/crates/balancer/src/admin/acceptor.rs
@@ -14,7 +14,9 @@
 
 use super::{Admin, MAX_REQUESTS};
 use crate::connections::lingering::LingeringClose;
-use crate::http::{self, Reply, Request, RequestError, RequestProgress, RequestReader};
+use crate::http::{
+    self, EvictionRule, Reply, Request, RequestError, RequestProgress, RequestReader,
+};
 use crate::net::{self, ReadError, WriteBuffer};
 
 /// Most callers whose request is incomplete. A further one evicts one of them.
@@ -41,6 +43,7 @@
     listener: &'a TcpListener,
     /// Callers with incomplete requests.
     reading: Vec<Caller>,
+    eviction_rule: EvictionRule,
     /// Callers that were answered here, the oldest first.
     lingering: VecDeque<LingeringClose>,
 }
@@ -52,6 +55,7 @@
             admin,
             listener,
             reading: Vec::with_capacity(MAX_READING),
+            eviction_rule: EvictionRule::default(),
             lingering: VecDeque::with_capacity(MAX_LINGERING),
         }
     }
@@ -80,7 +84,10 @@
         if self.reading.is_empty() && self.lingering.is_empty() {
             return MAX_WAIT;
         }
-        let next_eviction_at = || http::next_eviction_at(self.reading_callers());
+        let next_eviction_at = || {
+            self.eviction_rule
+                .next_eviction_at(self.reading_callers(), now)
+        };
         match (!has_room).then(next_eviction_at).flatten() {
             Some(next_eviction_at) => next_eviction_at.saturating_duration_since(now),
             None => TICK_INTERVAL,
@@ -117,7 +124,7 @@
                 Err(error) => return self.end(caller.stream, error),
             }
             match caller.request.read(&caller.stream, Instant::now()) {
-                Ok(()) => caller.progress.record_input(),
+                Ok(()) => caller.progress.record_input_at(Instant::now()),
                 Err(ReadError::TimedOut) => return self.reading.push(caller),
                 Err(error) => return self.end(caller.stream, RequestError::from(error)),
             }
@@ -205,14 +212,14 @@
             self.read(Caller {
                 stream,
                 request: RequestReader::new(http::MAX_REQUEST_BYTES),
-                progress: RequestProgress::start(),
+                progress: RequestProgress::start_at(Instant::now()),
             });
         }
     }
 
     /// Index of the caller to evict for a further one.
     fn eviction_candidate(&self, now: Instant) -> Option<usize> {
-        http::eviction_candidate(self.reading_callers(), now)
+        self.eviction_rule.candidate(self.reading_callers(), now)
     }
 
     /// The callers whose requests are incomplete, by index.
@@ -226,7 +233,8 @@
         if self.reading.len() < MAX_READING {
             return true;
         }
-        let Some(index) = self.eviction_candidate(Instant::now()) else {
+        let now = Instant::now();
+        let Some(index) = self.eviction_candidate(now) else {
             return false;
         };
         let caller = self.reading.swap_remove(index);
@@ -236,6 +244,7 @@
         if self.reading.len() == MAX_READING
             && let Some(caller) = self.reading.pop()
         {
+            self.eviction_rule.record_eviction(&caller.progress, now);
             let refusal = Reply::error(503, "too many concurrent callers");
             self.answer(caller.stream, &refusal);
         }
--- a/crates/balancer/src/http.rs
+++ b/crates/balancer/src/http.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 for the administration API and the operations port: one request a connection, with a
 //! head and a body of bounded length.
 
+mod eviction;
 mod request_progress;
 
 use std::net::TcpStream;
@@ -9,7 +10,8 @@
 use serde_json::{Value, json};
 
 use crate::net::{self, ReadBuffer, ReadError};
-pub use request_progress::{RequestProgress, eviction_candidate, next_eviction_at};
+pub use eviction::EvictionRule;
+pub use request_progress::RequestProgress;
 
 /// Longest head and longest body of a request to the administration API, in bytes.
 pub const MAX_REQUEST_BYTES: (usize, usize) = (8 * 1024, 16 * 1024);
--- a/crates/balancer/src/http/request_progress.rs
+++ b/crates/balancer/src/http/request_progress.rs
@@ -1,4 +1,4 @@
-//! How far the request of a caller has come, and which caller gives way to a further one.
+//! How far the request of a caller has come.
 
 use std::time::{Duration, Instant};
 
@@ -18,9 +18,8 @@
 }
 
 impl RequestProgress {
-    /// The progress of a caller that was accepted now.
-    pub fn start() -> RequestProgress {
-        let now = Instant::now();
+    /// The progress of a caller that is accepted at a time.
+    pub fn start_at(now: Instant) -> RequestProgress {
         RequestProgress {
             accepted_at: now,
             last_read_at: now,
@@ -29,8 +28,8 @@
     }
 
     /// Records that a part of the request has arrived.
-    pub fn record_input(&mut self) {
-        self.last_read_at = Instant::now();
+    pub fn record_input_at(&mut self, now: Instant) {
+        self.last_read_at = now;
         self.has_begun = true;
     }
 
@@ -44,44 +43,13 @@
         self.accepted_at + REQUEST_TIMEOUT
     }
 
-    /// From when the caller may be evicted for another one.
-    fn evictable_at(&self) -> Instant {
-        self.accepted_at + MIN_REQUEST_TIME
+    /// Whether a part of the request has arrived.
+    pub fn has_begun(&self) -> bool {
+        self.has_begun
     }
-}
 
-/// The callers of which one gives way to a further one: those that have begun their request, or those
-/// that have sent nothing, whichever are more. So neither kind evicts the few callers of the other
-/// one, which may be slow.
-fn larger_kind<K>(
-    callers: impl Iterator<Item = (K, RequestProgress)>,
-) -> Vec<(K, RequestProgress)> {
-    let (begun, silent): (Vec<_>, Vec<_>) = callers.partition(|(_, progress)| progress.has_begun);
-    if begun.len() >= silent.len() {
-        begun
-    } else {
-        silent
+    /// From when the caller may be evicted for another one.
+    pub fn evictable_at(&self) -> Instant {
+        self.accepted_at + MIN_REQUEST_TIME
     }
 }
-
-/// The caller to evict for a further one: of those that may be evicted, the one that has been silent
-/// longest.
-pub fn eviction_candidate<K>(
-    callers: impl Iterator<Item = (K, RequestProgress)>,
-    now: Instant,
-) -> Option<K> {
-    larger_kind(callers)
-        .into_iter()
-        .filter(|(_, progress)| now >= progress.evictable_at())
-        .min_by_key(|(_, progress)| progress.last_read_at)
-        .map(|(key, _)| key)
-}
-
-/// From when a caller may be evicted.
-pub fn next_eviction_at<K>(callers: impl Iterator<Item = (K, RequestProgress)>) -> Option<Instant> {
-    let callers = larger_kind(callers);
-    callers
-        .iter()
-        .map(|(_, progress)| progress.evictable_at())
-        .min()
-}
--- a/crates/balancer/src/operations.rs
+++ b/crates/balancer/src/operations.rs
@@ -16,7 +16,7 @@
 
 use crate::core::lifecycle::{CommandRefusedError, LifecycleCommand, LifecycleState};
 use crate::core::{CoreHandle, CoreInput, LifecycleReply};
-use crate::http::{self, Reply, Request, RequestError, RequestProgress, RequestReader};
+use crate::http::{EvictionRule, Reply, Request, RequestError, RequestProgress, RequestReader};
 use crate::net::{self, Listener, ReadError, WriteBuffer};
 use crate::poller::{EventFlags, Poller, Waker};
 
@@ -47,6 +47,7 @@
     poller: Poller,
     cores: Vec<CoreHandle>,
     callers: Vec<Caller>,
+    eviction_rule: EvictionRule,
     next_id: u64,
     results: (Sender<CommandResult>, Receiver<CommandResult>),
 }
@@ -103,6 +104,7 @@
         poller,
         cores,
         callers,
+        eviction_rule: EvictionRule::default(),
         next_id: LISTENER_TOKEN + 1,
         results: unbounded(),
     })
@@ -148,7 +150,10 @@
 
     /// Time until timeouts are to be checked or, without room, a caller may be evicted.
     fn wait_timeout(&self, now: Instant, has_room: bool) -> Duration {
-        let next_eviction_at = || http::next_eviction_at(self.reading_callers());
+        let next_eviction_at = || {
+            self.eviction_rule
+                .next_eviction_at(self.reading_callers(), now)
+        };
         match (!has_room).then(next_eviction_at).flatten() {
             Some(next_eviction_at) => next_eviction_at.saturating_duration_since(now),
             None if self.callers.is_empty() => IDLE_WAIT,
@@ -197,7 +202,7 @@
                 stream,
                 request: RequestReader::new(MAX_REQUEST_BYTES),
                 outgoing: WriteBuffer::default(),
-                progress: RequestProgress::start(),
+                progress: RequestProgress::start_at(Instant::now()),
                 state: CallerState::Reading,
                 interest: EventFlags::empty(),
             });
@@ -232,7 +237,7 @@
         if self.reading_callers().next().is_none() {
             return oldest_of(|_| true);
         }
-        http::eviction_candidate(self.reading_callers(), now)
+        self.eviction_rule.candidate(self.reading_callers(), now)
     }
 
     /// Whether there is room for one more caller, by eviction if necessary.
@@ -240,12 +245,18 @@
         if self.callers.len() < MAX_CALLERS {
             return true;
         }
-        let Some(id) = self.eviction_candidate(Instant::now()) else {
+        let now = Instant::now();
+        let Some(id) = self.eviction_candidate(now) else {
             return false;
         };
         // The rest of the request may have arrived since the last wait.
         self.with_caller(id, Self::on_ready);
-        self.with_caller(id, |_, caller| {
+        self.with_caller(id, |operations, caller| {
+            if caller.state == CallerState::Reading {
+                operations
+                    .eviction_rule
+                    .record_eviction(&caller.progress, now);
+            }
             if !matches!(caller.state, CallerState::Answered(_)) {
                 caller.answer(&Reply::error(503, "too many concurrent callers"));
             }
@@ -296,7 +307,7 @@
         };
         match read_result.and_then(|()| caller.request.parse()) {
             Ok(Some(request)) => self.dispatch(caller, &request),
-            Ok(None) => caller.progress.record_input(),
+            Ok(None) => caller.progress.record_input_at(Instant::now()),
             Err(RequestError::Disconnected) => caller.state = CallerState::Closed,
             Err(RequestError::Rejected(reply)) => caller.answer(&reply),
         }
--- a/crates/cli/tests/floods.rs
+++ b/crates/cli/tests/floods.rs
@@ -488,14 +488,24 @@
 /// Callers that stop half way and come back without a pause: few, so that a late call is hardly kept waiting in the system's
 /// queue, and many.
 const RETURNING_CALLERS: [usize; 3] = [17, 40, 200];
+/// Time after which a caller that a busy machine delays begins its request.
+const DELAYED_BEGIN: Duration = Duration::from_millis(10);
 
-/// Floods a port with callers that stop half way and come back without a pause, while others write their calls late.
-fn flood_port_beside_late_calls(name: &str, program: &Program, address: SocketAddr, call: &str) {
-    for callers in RETURNING_CALLERS {
+/// Floods a port with callers that begin a request after a pause, stop half way and come back at once, while others write
+/// their calls late.
+fn flood_port_beside_late_calls(
+    (name, program, address): (&str, &Program, SocketAddr),
+    (returning_callers, pause): (&[usize], Duration),
+    call: &str,
+) {
+    for callers in returning_callers {
         flood(
             (&format!("{name}, calls written late"), program, address),
-            (callers, SOUND_ANSWER_TARGET),
-            |stream, _| send_and_read(stream, "GET /status HTTP/1.1\r\nHost: "),
+            (*callers, SOUND_ANSWER_TARGET),
+            |stream, _| {
+                std::thread::sleep(pause);
+                send_and_read(stream, "GET /status HTTP/1.1\r\nHost: ");
+            },
             |_, answers| call_port(address, call, LATE_CALL_PAUSE, answers),
         );
     }
@@ -508,7 +518,8 @@
     let env = [("LB_ADMIN_ADDR", &*operations.to_string())];
     let site = start_platform("flood-late-operations", &env);
     let call = "GET /status HTTP/1.1\r\n\r\n";
-    flood_port_beside_late_calls("operations port", &site.program, operations, call);
+    let port = ("operations port", &site.program, operations);
+    flood_port_beside_late_calls(port, (&RETURNING_CALLERS, Duration::ZERO), call);
 }
 
 /// Guards against the same on the administration API.
@@ -516,7 +527,28 @@
 fn late_calls_of_administration_api_are_answered_beside_incomplete_ones() {
     let site = NatsSite::start("flood-late-administration");
     let call = format!("GET /v1/counts HTTP/1.1\r\nAuthorization: Bearer {ADMIN_TOKEN}\r\n\r\n");
-    flood_port_beside_late_calls("administration API", &site.program, site.admin, &call);
+    let port = ("administration API", &site.program, site.admin);
+    flood_port_beside_late_calls(port, (&RETURNING_CALLERS, Duration::ZERO), &call);
+}
+
+/// Guards against callers that a busy machine keeps from beginning: they must not count as the kind that late calls are of.
+#[test]
+fn late_calls_of_operations_port_are_answered_beside_delayed_incomplete_ones() {
+    let operations = reserve_address();
+    let env = [("LB_ADMIN_ADDR", &*operations.to_string())];
+    let site = start_platform("flood-delayed-operations", &env);
+    let port = ("operations port, delayed", &site.program, operations);
+    let call = "GET /status HTTP/1.1\r\n\r\n";
+    flood_port_beside_late_calls(port, (&RETURNING_CALLERS[..2], DELAYED_BEGIN), call);
+}
+
+/// Guards against the same on the administration API.
+#[test]
+fn late_calls_of_administration_api_are_answered_beside_delayed_incomplete_ones() {
+    let site = NatsSite::start("flood-delayed-administration");
+    let port = ("administration API, delayed", &site.program, site.admin);
+    let call = format!("GET /v1/counts HTTP/1.1\r\nAuthorization: Bearer {ADMIN_TOKEN}\r\n\r\n");
+    flood_port_beside_late_calls(port, (&RETURNING_CALLERS[..2], DELAYED_BEGIN), &call);
 }
 
 /// Guards against bad callers of the operations port (DAYS: answers are owed in 1 s under any load).
