--- a/crates/balancer/src/operations.rs
+++ b/crates/balancer/src/operations.rs
@@ -242,29 +242,33 @@
 
     /// Whether there is room for one more caller, by eviction if necessary.
     fn make_room(&mut self) -> bool {
-        if self.callers.len() < MAX_CALLERS {
-            return true;
+        while self.callers.len() == MAX_CALLERS {
+            let now = Instant::now();
+            let Some(id) = self.eviction_candidate(now) else {
+                return false;
+            };
+            self.with_caller(id, |operations, caller| operations.evict(caller, now));
         }
-        let now = Instant::now();
-        let Some(id) = self.eviction_candidate(now) else {
-            return false;
-        };
-        // The rest of the request may have arrived since the last wait.
-        self.with_caller(id, Self::on_ready);
-        self.with_caller(id, |operations, caller| {
-            if caller.state == CallerState::Reading {
-                operations
-                    .eviction_rule
-                    .record_eviction(&caller.progress, now);
-            }
-            if !matches!(caller.state, CallerState::Answered(_)) {
-                caller.answer(&Reply::error(503, "too many concurrent callers"));
-            }
-            caller.state = CallerState::Closed;
-        });
         true
     }
 
+    /// Closes a caller, with an answer if it has none. The rest of its request may have arrived
+    /// since the last wait: a command is carried out then, and its caller stays for the result.
+    fn evict(&mut self, caller: &mut Caller, now: Instant) {
+        if caller.state == CallerState::Reading {
+            self.on_ready(caller);
+            match caller.state {
+                CallerState::AwaitingCores(_) => return,
+                CallerState::Reading => self.eviction_rule.record_eviction(&caller.progress, now),
+                CallerState::Answered(_) | CallerState::Closed => {}
+            }
+        }
+        if !matches!(caller.state, CallerState::Answered(_)) {
+            caller.answer(&Reply::error(503, "too many concurrent callers"));
+        }
+        caller.state = CallerState::Closed;
+    }
+
     /// Runs `act` on a caller, updates its poll events, and closes it on an error or in state
     /// `Closed`.
     fn with_caller(&mut self, id: u64, act: impl FnOnce(&mut Operations, &mut Caller)) {
@@ -439,3 +443,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
