Ports: a further caller has one other evicted, not two

What callers saw: with 16 incomplete calls at the operations port or the administration API a 17th caller had two of them answered 503, the second one for nobody.

Cause: both ports accept in a loop, and made room before they looked whether one more caller waits, so each round ended with an eviction for a caller that was not there.

Why it works: a caller is evicted only for a connection that waits.

--- a/crates/balancer/src/admin/acceptor.rs
+++ b/crates/balancer/src/admin/acceptor.rs
@@ -194,7 +194,8 @@
     /// Accepts callers while there is room for them.
     fn accept(&mut self) {
         for _ in 0..MAX_READING {
-            if !self.make_room() {
+            // A caller is evicted only for one that waits.
+            if !net::has_waiting_connection(self.listener) || !self.make_room() {
                 return;
             }
             let stream = match self.listener.accept() {
--- a/crates/balancer/src/net.rs
+++ b/crates/balancer/src/net.rs
@@ -170,6 +170,11 @@
     )
 }
 
+/// Whether a connection waits to be accepted.
+pub fn has_waiting_connection(listener: &TcpListener) -> bool {
+    poll_for(&mut [PollFd::new(listener, PollFlags::IN)], Duration::ZERO)
+}
+
 /// Whether anything is ready. May return early.
 fn poll_for(poll_fds: &mut [PollFd<'_>], timeout: Duration) -> bool {
     let seconds = i64::try_from(timeout.as_secs()).unwrap_or(i64::MAX);
--- a/crates/balancer/src/operations/tests.rs
+++ b/crates/balancer/src/operations/tests.rs
@@ -53,3 +53,15 @@
         .expect("the caller is kept");
     assert!(matches!(caller.state, CallerState::AwaitingCores(_)));
 }
+
+/// Guards against a further caller that evicts two, the second one for nobody.
+#[test]
+fn further_caller_evicts_one() {
+    let (mut operations, address) = port_without_cores();
+    let _callers: Vec<TcpStream> = (0..MAX_CALLERS)
+        .map(|_| connect(&mut operations, address))
+        .collect();
+    std::thread::sleep(EVICTABLE_AFTER);
+    let _further = connect(&mut operations, address);
+    assert_eq!(operations.callers.len(), MAX_CALLERS);
+}
--- a/crates/cli/tests/floods.rs
+++ b/crates/cli/tests/floods.rs
@@ -488,6 +488,8 @@
 /// Callers that stop half way and come back without a pause: few, so that a late call is hardly kept waiting in the system's
 /// queue, and many.
 const RETURNING_CALLERS: [usize; 3] = [17, 40, 200];
+/// Most callers with an incomplete request at the administration API.
+const ADMIN_PLACES: usize = 16;
 /// Time after which a caller that a busy machine delays begins its request.
 const DELAYED_BEGIN: Duration = Duration::from_millis(10);
 
@@ -551,6 +553,23 @@
     flood_port_beside_late_calls(port, (&RETURNING_CALLERS[..2], DELAYED_BEGIN), &call);
 }
 
+/// Guards against a further caller of the administration API that evicts two, the second one for nobody.
+#[test]
+fn further_caller_of_administration_api_evicts_one() {
+    let site = NatsSite::start("further-caller");
+    let callers: Vec<TcpStream> = (0..ADMIN_PLACES)
+        .map(|_| Peer::connect(site.admin).stream)
+        .collect();
+    std::thread::sleep(LATE_CALL_PAUSE);
+    let _further = Peer::connect(site.admin);
+    std::thread::sleep(LATE_CALL_PAUSE);
+    let is_answered = |caller: &&TcpStream| {
+        caller.set_nonblocking(true).expect("socket is open");
+        caller.peek(&mut [0]).is_ok()
+    };
+    assert_eq!(callers.iter().filter(is_answered).count(), 1);
+}
+
 /// Guards against bad callers of the operations port (DAYS: answers are owed in 1 s under any load).
 #[test]
 fn bad_calls_of_operations_port_do_not_affect_others() {
