Ports: callers silent for 0.2 s do not keep places because others come back

Cause: evicted callers counted as of their kind against all others. So those that came back gave way alone, and the silent ones held 15 of 16 places until their timeout.

Evidence: calls_of_operations_port_are_answered_beside_silent_and_ incomplete_ones failed before (2.07 s) and passes now (0.47 s); so does the unit test callers_that_are_silent_for_long_are_not_shielded_by_ evicted_ones, which the rule of before had no time for.

Why it works: evicted callers count only against callers silent for less than 0.2 s. Those silent for longer are judged by the callers present.

--- a/crates/balancer/src/http/eviction.rs
+++ b/crates/balancer/src/http/eviction.rs
@@ -11,6 +11,10 @@
 /// callers that keep coming back outnumber those that hold their places.
 const MAX_EVICTED: usize = 32;
 
+/// Evicted callers count only against callers that have been silent for less than this, so that no
+/// caller keeps its place because others come back.
+const MAX_SHIELDED_SILENCE: Duration = Duration::from_millis(200);
+
 /// What a caller has sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CallerKind {
@@ -34,7 +38,8 @@
 ///
 /// A caller of the larger kind gives way, so that neither kind evicts the few callers of the other
 /// one, which may be slow. The callers evicted within the last second count too: the ones present
-/// may by chance be mostly slow callers that are served soon.
+/// may by chance be mostly slow callers that are served soon. Those that have been silent for
+/// longer are judged by the callers present alone.
 #[derive(Debug, Default)]
 pub struct EvictionRule {
     evicted: VecDeque<(Instant, CallerKind)>,
@@ -75,8 +80,7 @@
         self.evicted.push_back((now, CallerKind::of(progress)));
     }
 
-    /// The present callers of the kind that is larger with its evicted ones. Where none of it is
-    /// present, those of the other kind.
+    /// The present callers of the larger kind. Where none of it is present, those of the other kind.
     fn larger_kind<K>(
         &self,
         callers: impl Iterator<Item = (K, RequestProgress)>,
@@ -84,13 +88,25 @@
     ) -> Vec<(K, RequestProgress)> {
         let (begun, silent): (Vec<_>, Vec<_>) =
             callers.partition(|(_, progress)| CallerKind::of(progress) == CallerKind::Begun);
-        let begun_count = begun.len() + self.evicted_count(CallerKind::Begun, now);
-        let silent_count = silent.len() + self.evicted_count(CallerKind::Silent, now);
-        let begun_gives_way = begun_count >= silent_count;
-        if silent.is_empty() || (begun_gives_way && !begun.is_empty()) {
-            begun
+        let larger_present = larger_of(begun.len(), silent.len());
+        let present = match larger_present {
+            CallerKind::Begun => &begun,
+            CallerKind::Silent => &silent,
+        };
+        let is_shielded = |(_, progress): &(K, RequestProgress)| {
+            now < progress.last_read_at() + MAX_SHIELDED_SILENCE
+        };
+        let larger = if present.iter().all(is_shielded) {
+            let begun_count = begun.len() + self.evicted_count(CallerKind::Begun, now);
+            let silent_count = silent.len() + self.evicted_count(CallerKind::Silent, now);
+            larger_of(begun_count, silent_count)
         } else {
-            silent
+            larger_present
+        };
+        match larger {
+            CallerKind::Begun if !begun.is_empty() => begun,
+            CallerKind::Silent if silent.is_empty() => begun,
+            _ => silent,
         }
     }
 
@@ -103,5 +119,14 @@
     }
 }
 
+/// The kind with more callers.
+fn larger_of(begun: usize, silent: usize) -> CallerKind {
+    if begun >= silent {
+        CallerKind::Begun
+    } else {
+        CallerKind::Silent
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/balancer/src/http/eviction/tests.rs
+++ b/crates/balancer/src/http/eviction/tests.rs
@@ -89,3 +89,21 @@
     assert!(rule.candidate(callers(), now).is_none());
     assert!(rule.candidate(callers(), evictable_at).is_some());
 }
+
+/// Guards against callers that keep their places because others come back.
+#[test]
+fn callers_that_are_silent_for_long_are_not_shielded_by_evicted_ones() {
+    let (mut rule, now) = (EvictionRule::default(), Instant::now());
+    evict(&mut rule, MAX_EVICTED, true, now);
+    let kind_at = |silent_for: Duration| {
+        let silent = std::iter::repeat_n(caller(now - silent_for, false), 15);
+        let callers = silent.chain([caller(now - LATER, true)]);
+        rule.candidate(
+            callers.map(|progress| (CallerKind::of(&progress), progress)),
+            now,
+        )
+    };
+    let almost = MAX_SHIELDED_SILENCE - Duration::from_millis(1);
+    assert_eq!(kind_at(almost), Some(CallerKind::Begun));
+    assert_eq!(kind_at(MAX_SHIELDED_SILENCE), Some(CallerKind::Silent));
+}
--- a/crates/cli/tests/floods.rs
+++ b/crates/cli/tests/floods.rs
@@ -488,6 +488,10 @@
 /// Callers that stop half way and come back without a pause: few, so that a late call is hardly kept waiting in the system's
 /// queue, and many.
 const RETURNING_CALLERS: [usize; 3] = [17, 40, 200];
+/// Most callers of the operations port.
+const OPERATIONS_PLACES: usize = 16;
+/// One of this many callers sends nothing where the others stop half way.
+const MIXED_SILENT_SHARE: usize = 10;
 /// Most callers with an incomplete request at the administration API.
 const ADMIN_PLACES: usize = 16;
 /// Time after which a caller that a busy machine delays begins its request.
@@ -553,6 +557,29 @@
     flood_port_beside_late_calls(port, (&RETURNING_CALLERS[..2], DELAYED_BEGIN), &call);
 }
 
+/// Guards against callers that send nothing and keep their places while others that stop half way give way alone.
+#[test]
+fn calls_of_operations_port_are_answered_beside_silent_and_incomplete_ones() {
+    let operations = reserve_address();
+    let env = [("LB_ADMIN_ADDR", &*operations.to_string())];
+    let site = start_platform("flood-mixed-operations", &env);
+    let call = "GET /status HTTP/1.1\r\n\r\n";
+    let _holders: Vec<Peer> = (0..OPERATIONS_PLACES - 1)
+        .map(|_| Peer::connect(operations))
+        .collect();
+    flood(
+        ("operations port, mixed", &site.program, operations),
+        (200, SOUND_ANSWER_TARGET),
+        |stream, number| {
+            if number % MIXED_SILENT_SHARE != 0 {
+                let _ = stream.write_all(b"GET /status HTTP/1.1\r\nHost: ");
+            }
+            let _ = stream.read_to_end(&mut Vec::new());
+        },
+        |_, answers| call_port(operations, call, Duration::ZERO, answers),
+    );
+}
+
 /// Guards against a further caller of the administration API that evicts two, the second one for nobody.
 #[test]
 fn further_caller_of_administration_api_evicts_one() {
